Ask an agent for the list at once; pace only a discovery that the fleet shares

All breaches lie in doors just restarted. Ruled out: a late stop of sends after the word has come (send checks the state again before the first byte), and a slow agent (where it was asked, it answered within 10 ms: 'configured anew' 7.381, 'the whole list' 7.388). At fault: pace.start and pace.retry in discovery.go, which spread the asks of a fleet over a service that it shares. Design: pace by the settings. An agent is asked at once, again within 0.5 s, and is dead when it says nothing for 1 s; a shared service is paced as before, but never for longer than half of must_ask_in_us allows.

--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -47,7 +47,7 @@
 	watching, stopWatching := context.WithCancel(context.Background())
 	defer stopWatching()
 	moves := make(chan string)
-	go frontdoor.Follow(watching, config.Discovery, config.Known.Seq, config.Settings.FrontDoors, moves, loop.Update)
+	go frontdoor.Follow(watching, config, moves, loop.Update)
 	go reload(watching, path, hup, moves)
 	slog.Info("serving", "name", config.Name, "listen", config.Listen, "backends", len(config.Known.Hosts))
 	err = frontdoor.NewClients(config, loop).Run(ctx, listener)
--- a/internal/frontdoor/discovery.go
+++ b/internal/frontdoor/discovery.go
@@ -57,39 +57,78 @@
 	fetchTimeout = time.Second // the agent answers at once, or is silent
 )
 
-// Discovery is one service of fixed capacity for the whole fleet, and one hiccup of it ends the watches of all
-// front doors at the same moment. Should all come back at once, it would answer few of them in time, go on working
-// for those that have given up, and never catch up again. So the doors together are kept to an ask each askEvery:
-// one waits for a random part of a pause that starts at its fleet's number of these, at least retryLeast, and
-// doubles with each failure in a row, up to retryDoublings times.
+// Where the settings say that lists are pushed, an agent on the front door's own machine holds what it has been sent
+// and answers at once and at no cost to anybody. There is nothing to spare by waiting, and much to lose: what the
+// agent holds counts as told, so a door that has just started with an old list may send to a backend that drains
+// for DrainGrace and no longer. It asks at once, and again within retryLeast after each failure.
+//
+// Where the list has to be asked for, discovery is one service of fixed capacity for the whole fleet, and one hiccup of
+// it ends the watches of all front doors at the same moment. Should all come back at once, it would answer few of them
+// in time, go on working for those that have given up, and never catch up again. So the doors together are kept to an
+// ask each askEvery: one waits for a random part of a pause that starts at its fleet's number of these, at least
+// retryLeast, and doubles with each failure in a row, up to retryDoublings times. However large the fleet, no pause
+// lasts for longer than half of the time after which what was not asked for counts as told.
 const (
 	askEvery       = 100 * time.Millisecond // an ask was seen to keep discovery busy for 65 to 75 ms
 	retryLeast     = 500 * time.Millisecond
 	retryDoublings = 2
+	failedLasts    = 4 // a failed ask puts off what counts as told to this many times MustAsk
 )
 
 // pace is how a door of a fleet spreads its asks.
-type pace struct{ doors int }
+type pace struct {
+	doors   int
+	shared  bool          // all doors ask one service
+	mustAsk time.Duration // what was listed this long ago counts as told to a door that has not asked since; 0: not so
+}
+
+// paceOf is the pace that the settings call for.
+func paceOf(c Config) pace {
+	return pace{doors: c.Settings.FrontDoors, shared: c.Settings.AskForList, mustAsk: c.Conns.MustAsk}
+}
 
 // retry is the pause after so many failures in a row, with full jitter.
 func (p pace) retry(failures int) time.Duration {
+	if !p.shared {
+		return rand.N(retryLeast)
+	}
 	first := max(retryLeast, time.Duration(p.doors)*askEvery)
-	return rand.N(first << min(max(failures-1, 0), retryDoublings))
+	return rand.N(p.atMost(failedLasts, first<<min(max(failures-1, 0), retryDoublings)))
 }
 
 // start is the pause before the first ask of a new process. Many may have started at once, and each holds a list
 // from before, if an old one: the spread is half of that after a failure.
-func (p pace) start() time.Duration { return rand.N(max(1, time.Duration(p.doors)*askEvery/2)) }
+func (p pace) start() time.Duration {
+	if !p.shared {
+		return 0
+	}
+	return rand.N(p.atMost(1, max(1, time.Duration(p.doors)*askEvery/2)))
+}
+
+// atMost bounds a pause by half of so many times mustAsk; the other half is for the ask itself.
+func (p pace) atMost(times, pause time.Duration) time.Duration {
+	if p.mustAsk <= 0 {
+		return pause
+	}
+	return min(pause, max(1, times*min(p.mustAsk, time.Hour)/2))
+}
+
+// firstWord is how long an ask may take until something is heard: an agent is quick, a service answers in turn.
+func (p pace) firstWord() time.Duration {
+	if p.shared {
+		return watchSilence
+	}
+	return fetchTimeout
+}
 
 // takeWhole, as a version to start from, asks for the whole list first.
 const takeWhole = -1
 
-// Follow follows discovery until ctx ends. It starts at addr from a version on; each address that comes from moves
+// Follow follows the configuration's discovery until ctx ends, from the known list on; each address that comes from moves
 // takes the place of the one before. Another discovery may number its versions in another way, so after a move
 // the whole list is taken first.
-// doors is the number of front doors that ask the same discovery.
-func Follow(ctx context.Context, addr string, from int64, doors int, moves <-chan string, update func(EndpointList)) {
-	p := pace{doors}
+func Follow(ctx context.Context, config Config, moves <-chan string, update func(EndpointList)) {
+	p, addr, from := paceOf(config), config.Discovery, config.Known.Seq
 	wait := p.start()
 	for {
 		watching, stop := context.WithCancel(ctx)
@@ -130,7 +169,7 @@
 			err = fetch(ctx, rt, addr, &from, heardOf)
 		}
 		if err == nil {
-			err = watch(ctx, rt, addr, watchSilence, &from, heardOf)
+			err = watch(ctx, rt, addr, p.firstWord(), watchSilence, &from, heardOf)
 		}
 		if ctx.Err() != nil {
 			return
@@ -203,13 +242,14 @@
 	return nil
 }
 
-// watch follows discovery over one connection. A line that cannot be read ends it, and the next watch asks for
+// watch follows discovery over one connection, for as long as it says something within first and then within each
+// silence. A line that cannot be read ends it, and the next watch asks for
 // the same changes again: passing over the line could lose the word that a backend drains.
-func watch(ctx context.Context, rt http.RoundTripper, addr string, silence time.Duration, from *int64,
+func watch(ctx context.Context, rt http.RoundTripper, addr string, first, silence time.Duration, from *int64,
 	update func(EndpointList)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	alarm := time.AfterFunc(silence, func() { cancel(errSilent) })
+	alarm := time.AfterFunc(first, func() { cancel(errSilent) })
 	defer alarm.Stop()
 	res, err := ask(ctx, rt, fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", addr, *from))
 	if err != nil {
--- a/internal/frontdoor/discovery_test.go
+++ b/internal/frontdoor/discovery_test.go
@@ -37,7 +37,7 @@
 	from := int64(41)
 	for want, wantSeq := range []int64{42, 42, 43} {
 		ctx, cancel := context.WithTimeout(t.Context(), patient)
-		err := watch(ctx, &http.Transport{}, addr, time.Second, &from, func(l EndpointList) { lists <- l })
+		err := watch(ctx, &http.Transport{}, addr, patient, time.Second, &from, func(l EndpointList) { lists <- l })
 		if err == nil || ctx.Err() != nil || from != wantSeq {
 			t.Errorf("watch %d ended with %v at version %d, want %d", want+1, err, from, wantSeq)
 		}
@@ -65,7 +65,7 @@
 		fmt.Fprintln(w, `{"seq":50,"whole":true,"hosts":[]}`)
 	})
 	from := int64(1)
-	err := watch(t.Context(), &http.Transport{}, addr, silence, &from, func(EndpointList) {})
+	err := watch(t.Context(), &http.Transport{}, addr, silence, silence, &from, func(EndpointList) {})
 	if from != 50 {
 		t.Errorf("ended with %v at version %d", err, from)
 	}
@@ -136,7 +136,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan bool)
 	go func() {
-		Follow(ctx, first, 800, 1, moves, func(l EndpointList) { lists <- l })
+		c := Config{Discovery: first, Known: EndpointList{Seq: 800}}
+		Follow(ctx, c, moves, func(l EndpointList) { lists <- l })
 		close(ended)
 	}()
 	if got := <-askedFirst; got != "/v1/endpoints?watch=1&from=800" {
@@ -199,7 +200,9 @@
 		}
 		var all sync.WaitGroup
 		for range doors {
-			all.Go(func() { keepWatching(ctx, busy(true), pace{doors}, "discovery", 1, func(EndpointList) {}) })
+			all.Go(func() {
+				keepWatching(ctx, busy(true), pace{doors: doors, shared: true}, "discovery", 1, func(EndpointList) {})
+			})
 		}
 		all.Wait()
 		t.Logf("%d doors back after %v and %d asks", back, last, asks)
@@ -210,20 +213,59 @@
 }
 
 func TestPausesStayInBounds(t *testing.T) {
+	const mustAsk = 10 * time.Second
+	shared := func(doors int, mustAsk time.Duration) pace { return pace{doors, true, mustAsk} }
 	for _, c := range []struct {
-		doors, failures int
-		most            time.Duration
-	}{{1, 1, retryLeast}, {4, 2, 2 * retryLeast}, {80, 0, 8 * time.Second}, {80, 1, 8 * time.Second},
-		{80, 2, 16 * time.Second}, {80, 1 << 40, 32 * time.Second}} {
+		pace     pace
+		failures int
+		most     time.Duration
+	}{{shared(1, 0), 1, retryLeast}, {shared(4, 0), 2, 2 * retryLeast}, {shared(80, 0), 0, 8 * time.Second},
+		{shared(80, 0), 1, 8 * time.Second}, {shared(80, 0), 2, 16 * time.Second},
+		{shared(80, 0), 1 << 40, 32 * time.Second}, {shared(80, mustAsk), 1 << 40, 20 * time.Second},
+		{shared(1_000_000, mustAsk), 1, 20 * time.Second}, {pace{doors: 300}, 1, retryLeast},
+		{pace{doors: 300}, 1 << 40, retryLeast}} {
 		longest := time.Duration(0)
 		for range 1000 {
-			longest = max(longest, pace{c.doors}.retry(c.failures))
+			longest = max(longest, c.pace.retry(c.failures))
 		}
 		if longest >= c.most || longest < c.most*3/4 {
-			t.Errorf("%d doors, %d failures: pauses up to %v, %v wanted", c.doors, c.failures, longest, c.most)
+			t.Errorf("%+v, %d failures: pauses up to %v, %v wanted", c.pace, c.failures, longest, c.most)
 		}
 	}
-	if p := (pace{80}).start(); p < 0 || p >= 4*time.Second {
-		t.Errorf("a first ask after %v", p)
+	for range 1000 {
+		if p := shared(80, mustAsk).start(); p < 0 || p >= 4*time.Second {
+			t.Errorf("a first ask after %v", p)
+		}
+		if p := shared(300, mustAsk).start(); p < 0 || p >= mustAsk/2 {
+			t.Errorf("one of 300 first asks after %v", p)
+		}
 	}
 }
+
+// A front door that starts with an old list of a large fleet has DrainGrace to learn which of its backends drain, where
+// an agent of its own machine can tell it: it asks before anything else can happen, and again soon if that failed.
+func TestAnAgentIsAskedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+		defer stop()
+		start := time.Now()
+		var asked []time.Duration
+		silent := roundTrip(func(r *http.Request) (*http.Response, error) {
+			asked = append(asked, time.Since(start))
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		})
+		p := paceOf(Config{Settings: ct.Settings{FrontDoors: 300}})
+		if sleep(ctx, p.start()) {
+			keepWatching(ctx, silent, p, "agent", 1, func(EndpointList) {})
+		}
+		if len(asked) == 0 || asked[0] > 0 {
+			t.Fatalf("asked first at %v", asked)
+		}
+		for i, at := range asked[1:] {
+			if gap := at - asked[i]; gap > fetchTimeout+retryLeast {
+				t.Errorf("a silent agent was asked again after %v", gap)
+			}
+		}
+	})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -120,6 +120,7 @@
 		Warm     int64   `json:"warm_within_us"`
 		Multiple float64 `json:"fall_multiple"`
 		Fall     int64   `json:"fall_us"`
+		MustAsk  int64   `json:"must_ask_in_us"`
 	} `json:"obligations"`
 	Stats struct {
 		Columns []string `json:"columns"`
@@ -278,10 +279,14 @@
 	return &Start{Seed: l.Seed, Settings: s}, nil
 }
 
-// Connections are the settings on connections to backends. Only a front door on real sockets needs them.
+// Connections are the settings on connections to backends and to discovery. Only a front door on real sockets needs
+// them.
 type Connections struct {
 	Idle    time.Duration // a backend closes one that was idle for this long
 	Connect time.Duration // one that is not up by then counts as failed
+	// MustAsk: where the list must be asked for, what was listed this long ago counts as told to a front door that has
+	// not asked since; 0: not so
+	MustAsk time.Duration
 }
 
 // DecodeSettings reads the settings of an instance. They have the same form on the wire and in the
@@ -316,7 +321,8 @@
 			Price: t.Value, OverWorth: t.OverWorth, OverCost: t.OverCost, CeilingRate: t.CeilRate,
 			CeilingBurst: t.CeilDepth, CeilingSlack: t.CeilSlack})
 	}
-	return s, Connections{Idle: us(p.Limits.ConnIdle), Connect: us(p.Limits.Connect)}, nil
+	return s, Connections{Idle: us(p.Limits.ConnIdle), Connect: us(p.Limits.Connect),
+		MustAsk: us(p.Duties.MustAsk)}, nil
 }
 
 // AppendAction writes one action of an instance as a line.
