Hold attempts out by parts that add up, and let a request wait for one of its own to end

Ruled out: the ceiling's store (445 refusals with room) and the meter (its readings are there within 1 s). At fault: withinQuota, which let every door have ceil(limit / doors) attempts out and refused what came while one was: rounded up at four doors, a limit of 2 is 4; and a door with one attempt refuses as often as its customer is busy. Design: openPart gives out the limit in parts whose sum is the limit, or one more where there are fewer attempts than doors (the slack of the rule is one request), the remainder to other doors for each customer. A request over the part waits in its customer's line, if by the mean latency its turn comes within half of its aim and a quarter of its patience; else it is refused at once. A ceiling whose even part could never hold one of the largest requests is split between fewer doors.

TestAllDoorsKeepTheCeilings fails with parts rounded up ('4 attempts of customer 0 out at once' of 2).

--- a/advice.go
+++ b/advice.go
@@ -18,7 +18,7 @@
 		wait = missing / max(1, 100-steady)
 	}
 	if !g.underCeiling(c, units) {
-		wait = max(wait, (units-c.ceil)*c.doors/c.plan.CeilingRate)
+		wait = max(wait, (units-c.ceil)*c.parts/c.plan.CeilingRate)
 	}
 	if wait <= 0 { // a limit on attempts that are out: one must end
 		return g.untilSlot()
--- /dev/null
+++ b/fleet_test.go
@@ -0,0 +1,235 @@
+package cypresstrack
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// The fleet tests run many doors beside each other over one clock. Nothing but their events reaches them, and what is
+// bounded is the sum over all of them: the doors that restart from nothing and those that get most of the traffic are
+// among them. Outcomes come after random times, in the way of a back end that is half busy.
+
+type fleetEvent struct {
+	at   time.Duration
+	door int
+	life int
+	ev   Event
+}
+
+type fleetQueue []fleetEvent
+
+func (q fleetQueue) Len() int           { return len(q) }
+func (q fleetQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q fleetQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *fleetQueue) Push(x any)        { *q = append(*q, x.(fleetEvent)) }
+func (q *fleetQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// fleetRun is a fleet under way. The hooks see what all doors do.
+type fleetRun struct {
+	t     *testing.T
+	set   Settings
+	rng   *rand.Rand
+	now   time.Duration
+	list  []BackendInfo
+	doors []*Gateway
+	lives []int
+	queue fleetQueue
+	next  RequestID
+	reqs  map[RequestID]Request
+	tries map[RequestID]int
+	use   func(CustomerID) (float64, bool) // the meter's word for an answer now
+
+	onSend func(r Request, b BackendID, first bool)
+	onEnd  func(r Request)
+}
+
+const meanWork = 100 * ms // of an attempt in these tests
+
+func newFleet(t *testing.T, set Settings, seed uint64, backends int) *fleetRun {
+	f := &fleetRun{t: t, set: set, rng: rand.New(rand.NewPCG(seed, 9)), now: 1000 * second, list: fleet(backends),
+		doors: make([]*Gateway, set.FrontDoors), lives: make([]int, set.FrontDoors), reqs: map[RequestID]Request{},
+		tries: map[RequestID]int{}, onSend: func(Request, BackendID, bool) {}, onEnd: func(Request) {}}
+	for door := range f.doors {
+		f.start(door)
+	}
+	return f
+}
+
+// start begins a door from nothing but the list. What it had out before ends with it.
+func (f *fleetRun) start(door int) {
+	for _, e := range f.queue {
+		if o, ok := e.ev.(Outcome); ok && e.door == door && e.life == f.lives[door] {
+			f.onEnd(f.reqs[o.Request])
+		}
+	}
+	f.set.Me = door
+	g, err := New(f.set, f.rng.Uint64(), f.now)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.doors[door] = g
+	f.lives[door]++
+	f.give(door, BackendList{Kind: ListSaved, Backends: f.list})
+}
+
+func (f *fleetRun) give(door int, ev Event) {
+	for _, a := range f.doors[door].Handle(f.now, ev, nil) {
+		switch a := a.(type) {
+		case Send:
+			r, n := f.reqs[a.Request], f.tries[a.Request]
+			f.tries[a.Request]++
+			f.onSend(r, a.Backend, n == 0)
+			took := seconds(meanWork.Seconds() * f.rng.ExpFloat64())
+			out := Outcome{Request: a.Request, Backend: a.Backend, Attempt: n, Result: Answered, Took: took, Final: true}
+			f.after(took, door, out)
+		case SetTimer:
+			f.after(a.After, door, Timer{Token: a.Token})
+		}
+	}
+}
+
+func (f *fleetRun) after(d time.Duration, door int, ev Event) {
+	heap.Push(&f.queue, fleetEvent{f.now + d, door, f.lives[door], ev})
+}
+
+// runUntil plays what is due, with requests of ask coming at the rate a second.
+func (f *fleetRun) runUntil(end time.Duration, rate float64, ask func() (door int, r Request)) {
+	arrival := f.now + seconds(f.rng.ExpFloat64()/rate)
+	for {
+		for len(f.queue) > 0 && f.queue[0].at <= min(arrival, end) {
+			e := heap.Pop(&f.queue).(fleetEvent)
+			f.now = max(f.now, e.at)
+			if e.life != f.lives[e.door] {
+				continue
+			}
+			if o, ok := e.ev.(Outcome); ok {
+				f.onEnd(f.reqs[o.Request])
+				if f.use != nil {
+					o.Use, o.HasUse = f.use(f.reqs[o.Request].Customer)
+				}
+				e.ev = o
+			}
+			f.give(e.door, e.ev)
+		}
+		if arrival > end {
+			f.now = end
+			return
+		}
+		f.now = arrival
+		arrival += seconds(f.rng.ExpFloat64() / rate)
+		door, r := ask()
+		f.next++
+		r.ID = f.next
+		f.reqs[r.ID] = r
+		f.give(door, r)
+	}
+}
+
+// unevenly draws a door of a set: the first of it gets several times what the last one gets.
+func (f *fleetRun) unevenly(first, spread int) int {
+	at := int(float64(spread) * math.Pow(f.rng.Float64(), 2.5))
+	return (first + at) % f.set.FrontDoors
+}
+
+// All doors together keep a customer under its ceiling, in rate and in attempts out, however many its doors are,
+// however little comes to each of them, and whichever of them restart from nothing.
+func TestAllDoorsKeepTheCeilings(t *testing.T) {
+	for _, c := range []struct {
+		spread, open int
+		burst, most  float64 // of the ceiling; units of the largest request
+	}{{2, 3, 60, 8}, {4, 3, 64, 8}, {4, 2, 64, 8}, {3, 4, 60, 8}, {5, 7, 80, 8}, {20, 3, 8, 1}, {30, 2, 8, 2}, {12, 40, 20, 8}} {
+		set := testSettings()
+		set.FrontDoors, set.LargestUnits = 30, c.most
+		p := Plan{Name: "estate", Rate: 20, Burst: 32, Price: 1, Open: c.open, CeilingRate: 40, CeilingBurst: c.burst,
+			CeilingSlack: c.most}
+		set.Plans = append(set.Plans, p)
+		for seed := range uint64(3) {
+			f := newFleet(t, set, seed, 10)
+			const customers = 3
+			var store [customers]float64
+			var at [customers]time.Duration
+			var out, mostOut [customers]int
+			sent := 0
+			for i := range store {
+				store[i], at[i] = c.burst, f.now
+			}
+			f.onSend = func(r Request, _ BackendID, first bool) {
+				i := r.Customer
+				if out[i]++; out[i] > mostOut[i] {
+					mostOut[i] = out[i]
+				}
+				if !first {
+					return
+				}
+				sent++
+				store[i] = min(c.burst, store[i]+p.CeilingRate*(f.now-at[i]).Seconds()) - r.Units
+				if at[i] = f.now; store[i] < -1e-6 {
+					t.Fatalf("%+v seed %d: the ceiling's store is at %v", c, seed, store[i])
+				}
+			}
+			f.onEnd = func(r Request) { out[r.Customer]-- }
+			ask := func() (int, Request) {
+				i := f.rng.IntN(customers)
+				first := 7 * i
+				return f.unevenly(first, c.spread), Request{Customer: CustomerID(i), Class: "safe", Plan: p.Name,
+					Units: 1 + float64(f.rng.IntN(int(c.most))), Patience: 3 * second, FirstDoor: first, Spread: c.spread}
+			}
+			for range 20 {
+				f.runUntil(f.now+second, 200, ask)
+				for range 3 {
+					f.start(f.rng.IntN(set.FrontDoors))
+				}
+			}
+			for i, n := range mostOut {
+				if n > c.open+1 { // the rule's slack is one request
+					t.Errorf("%+v seed %d: %d attempts of customer %d out at once", c, seed, n, i)
+				}
+			}
+			if sent < 100 {
+				t.Errorf("%+v seed %d: only %d requests sent, too few to tell anything", c, seed, sent)
+			}
+		}
+	}
+}
+
+// Where readings of the meter come with answers, in the time that they take, all doors of a customer that asks for many
+// times its quota send about the quota: what none of them can know yet is all that is beyond it.
+func TestAllDoorsKeepTheQuota(t *testing.T) {
+	const doors, late, length = 8, 700 * ms, 30.0
+	set := testSettings()
+	set.FrontDoors, set.MeterPeriod, set.LargestUnits = doors, 500*ms, 2
+	p := Plan{Name: "business", Rate: 12, Burst: 24, Price: 1}
+	set.Plans = append(set.Plans, p)
+	for seed := range uint64(3) {
+		f := newFleet(t, set, seed, 20)
+		periods := map[time.Duration]float64{}
+		total := 0.0
+		f.onSend = func(r Request, _ BackendID, first bool) {
+			if first {
+				periods[f.now/set.MeterPeriod] += r.Units
+				total += r.Units
+			}
+		}
+		f.use = func(CustomerID) (float64, bool) {
+			return 100 * periods[(f.now-late)/set.MeterPeriod-1] / (p.Rate * set.MeterPeriod.Seconds()), true
+		}
+		ask := func() (int, Request) {
+			return f.unevenly(0, doors), Request{Customer: 1, Class: "safe", Plan: p.Name, Units: 1 + float64(f.rng.IntN(2)),
+				Patience: 3 * second, Spread: doors}
+		}
+		f.runUntil(f.now+seconds(length), 5*p.Rate, ask)
+		may := p.Burst + p.Rate*length
+		t.Logf("seed %d: %.0f units sent, the quota is %.0f", seed, total, may)
+		if total > 1.5*may || total < may/2 {
+			t.Errorf("seed %d: %.0f units sent, the quota is %.0f", seed, total, may)
+		}
+	}
+}
--- a/gateway.go
+++ b/gateway.go
@@ -88,7 +88,9 @@
 	seq             uint64
 	class           *class
 	cust            *customer
+	units           float64
 	due             time.Duration
+	awaits          bool // held in its customer's line, not yet sent
 	tries           []attempt
 	ended, streamed bool
 }
@@ -104,9 +106,12 @@
 type customer struct {
 	plan         *Plan
 	doors        float64 // front doors that it uses
-	member       bool    // this is one of them
+	parts        float64 // parts of its ceiling
+	hasCeil      bool    // one of them is this door's
 	seen         time.Duration
 	open         int
+	openPart     int           // this door's part of the plan's attempts out
+	line         []*request    // held until an attempt out ends; some have ended
 	store        float64       // s: percent-seconds, as of storeAt
 	storeAt      time.Duration // the end of the last period that the meter told of
 	pass         float64       // f
@@ -234,34 +239,46 @@
 		g.act(Refuse{ev.ID, g.untilQuota(c, ev.Units)})
 		return
 	}
-	worth := cl.Worth * plan.Price * ev.Units
+	g.seq++
+	r := &request{id: ev.ID, seq: g.seq, class: cl, cust: c, units: ev.Units, due: g.now + ev.Patience}
+	switch {
+	case c.hasOpen():
+		g.admit(r)
+	case !g.await(r):
+		g.act(Refuse{ev.ID, g.untilSlot()})
+	}
+}
+
+// admit gives a request that its quota has room for a slot and a backend, or refuses it at once.
+func (g *Gateway) admit(r *request) {
+	c, plan := r.cust, r.cust.plan
+	worth := r.class.Worth * plan.Price * r.units
 	high := g.isHigh(worth)
 	t := &g.tiers[b2i(high)]
 	t.arrivals++
 	t.worth += worth
-	r := &request{id: ev.ID, seq: g.seq + 1, class: cl, cust: c, due: g.now + ev.Patience}
 	b := g.choose(r)
 	var s *slot
 	if b != nil {
 		s = g.takeSlot(high)
 	}
 	if s == nil {
-		g.act(Refuse{ev.ID, g.untilSlot()})
+		g.act(Refuse{r.id, g.untilSlot()})
+		g.end(r)
 		return
 	}
-	g.seq++
 	g.requests[r.id], g.bySeq[r.seq] = r, r
-	c.ceil -= ev.Units
+	c.ceil -= r.units
 	if plan.Rate > 0 {
 		if len(c.draws) == mostDraws { // no readings: the older half goes into the store
 			at := c.draws[mostDraws/2-1].at
 			c.store, c.storeAt, c.draws = c.room(at), at, slices.Delete(c.draws, 0, mostDraws/2)
 		}
-		c.draws = append(c.draws, draw{g.now, 100 * ev.Units / plan.Rate})
+		c.draws = append(c.draws, draw{g.now, 100 * r.units / plan.Rate})
 	}
 	g.send(r, b, s)
-	cl.first = append(cl.first, r)
-	g.act(SetTimer{After: ev.Patience, Token: r.seq})
+	r.class.first = append(r.class.first, r)
+	g.act(SetTimer{After: r.due - g.now, Token: r.seq})
 }
 
 // isHigh compares a worth with the recent median.
@@ -487,9 +504,12 @@
 	if c == nil || c.plan != plan {
 		doors := min(max(ev.Spread, 1), g.set.FrontDoors)
 		offset := ((g.set.Me-ev.FirstDoor)%g.set.FrontDoors + g.set.FrontDoors) % g.set.FrontDoors
-		c = &customer{plan: plan, doors: float64(doors), member: offset < doors, pass: 1, storeAt: g.now,
-			ceilAt: g.boot, period: g.set.MeterPeriod.Seconds()}
+		parts := ceilingParts(plan.CeilingBurst, g.set.LargestUnits, doors)
+		c = &customer{plan: plan, doors: float64(doors), pass: 1, storeAt: g.now, parts: float64(parts),
+			hasCeil: offset < doors && rank(doors, offset, ev.Customer) < parts,
+			ceilAt:  g.boot, period: g.set.MeterPeriod.Seconds()}
 		c.store = c.capacity()
+		c.openPart = openPart(plan.Open, doors, offset, ev.Customer)
 		g.customers[ev.Customer] = c
 	}
 	c.seen, c.units = g.now, max(ev.Units, 1e-6)
@@ -545,15 +565,12 @@
 // chance f. Exception: readings come late and a short burst is over before one tells of it, so while the
 // store is above 0 what was sent on since the last metered period is taken off it, over all doors.
 func (g *Gateway) withinQuota(c *customer, units float64) bool {
-	if c.plan.Open > 0 && float64(c.open) >= math.Ceil(float64(c.plan.Open)/c.doors) {
-		return false
-	}
 	// f binds while readings come: they come with answers, and so much may be refused that there are none
 	heard := g.now-c.read <= 2*readingAge*g.set.MeterPeriod
 	if heard && (c.plan.Rate <= 0 || c.store <= 0) && g.rng.Float64() >= c.pass {
 		return false
 	}
-	return c.plan.Rate <= 0 || c.room(g.now) >= 100*units/c.plan.Rate+margin*c.capacity()
+	return c.plan.Rate <= 0 || c.room(g.now) >= 100*(units+c.held())/c.plan.Rate+margin*c.capacity()
 }
 
 // onReading counts one reading of the meter for each period, though many answers repeat it; they jitter, and
@@ -590,20 +607,6 @@
 	}
 }
 
-// --- ceiling
-
-// underCeiling keeps this door's part of the customer's second store: an even part, so that all parts
-// together are the whole. A customer not met since this door's start is taken to have used its part up just
-// then, as before a restart it may have. A door outside the customer's set has no part.
-func (g *Gateway) underCeiling(c *customer, units float64) bool {
-	if c.plan.CeilingRate <= 0 {
-		return true
-	}
-	c.ceil = min(c.plan.CeilingBurst, c.ceil*c.doors+c.plan.CeilingRate*(g.now-c.ceilAt).Seconds()) / c.doors
-	c.ceilAt = g.now
-	return c.member && c.ceil >= units
-}
-
 // --- server choice and health
 
 func (g *Gateway) onList(ev BackendList) {
@@ -729,6 +732,7 @@
 	s := t.slot
 	t.b.out--
 	r.cust.open--
+	defer g.next(r.cust)
 	if ev.HasUse {
 		g.onReading(r.cust, max(0, ev.Use))
 	}
@@ -811,7 +815,7 @@
 	if r == nil || r.ended {
 		return
 	}
-	r.ended = true
+	r.ended, r.awaits = true, false
 	if r.out() && g.set.CanCancel {
 		g.act(Cancel{Request: r.id, Attempt: len(r.tries) - 1})
 	}
@@ -832,7 +836,8 @@
 func (g *Gateway) onTimer(token uint64) {
 	if token == 0 {
 		g.tick()
-	} else if r := g.bySeq[token]; r != nil && !r.ended && !r.streamed {
+	} else if r := g.bySeq[token]; r != nil && !r.ended && !r.streamed &&
+		(r.awaits || g.now+time.Millisecond >= r.due) { // not by a timer from when it was held
 		g.answer(r)
 	}
 }
