Pace cold backends in a new door by what it has sent, not by a guess

At fault: New's sendRate of 20 a second, a guess that each start grants afresh. It lets a door of 7 to 10 sends a second keep to two to three times as many backends as it would, and coldToken pays out to each at the rate of a busy door, for the four seconds in which the guess fades. Ruled out: the random first part of a token, which adds nothing on average. Design: until a door has counted a second, coldToken goes by what it has sent so far, and the first count replaces the guess at once.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -200,6 +200,52 @@
 	}
 }
 
+// A cold backend bears only so much of what all doors send: FallMultiple of its capacity over FallFor. Most doors are
+// killed and come back just when half of the backends have been replaced, so that all of them know nothing at once.
+func TestAllDoorsSpareColdBackends(t *testing.T) {
+	const doors, backends, replaced, perDoor = 150, 90, 45, 10.0
+	const capacity = 20.0 // attempts a second of a warm backend: two cores and meanWork; the fleet asks for 83 in 100 of it
+	set := testSettings()
+	set.FrontDoors, set.ColdFrom, set.WarmWithin, set.FallMultiple, set.FallFor = doors, 0.19, 15*second, 3, 1500*ms
+	for seed := range uint64(3) {
+		f := newFleet(t, set, seed, backends)
+		ask := func() (int, Request) {
+			return f.unevenly(0, doors), Request{Customer: CustomerID(f.rng.IntN(5000)), Class: "safe", Plan: "wide", Units: 1,
+				Patience: 3 * second, Spread: doors}
+		}
+		f.runUntil(f.now+8*second, doors*perDoor, ask)
+		born := f.now
+		for i := range replaced {
+			f.list[i].Started = born
+		}
+		for door := range doors {
+			if f.rng.IntN(10) < 7 {
+				f.start(door)
+			} else {
+				f.give(door, BackendList{Kind: ListChanges, Backends: f.list})
+			}
+		}
+		sent := make([][]time.Duration, backends+1)
+		f.onSend = func(_ Request, b BackendID, _ bool) { sent[b] = append(sent[b], f.now) }
+		f.runUntil(born+6*second, doors*perDoor, ask)
+		worst := 0.0
+		for b := 1; b <= replaced; b++ {
+			for i, from := 0, 0; i < len(sent[b]); i++ {
+				for sent[b][i]-sent[b][from] > set.FallFor {
+					from++
+				}
+				age := (sent[b][from] - born).Seconds()
+				warmth := set.ColdFrom + (1-set.ColdFrom)*age/set.WarmWithin.Seconds()
+				worst = max(worst, float64(i-from+1)/(set.FallMultiple*warmth*capacity*set.FallFor.Seconds()))
+			}
+		}
+		t.Logf("seed %d: at most %.2f of what makes a cold backend fall", seed, worst)
+		if worst > 1 {
+			t.Errorf("seed %d: a cold backend was sent %.2f times what it bears", seed, worst)
+		}
+	}
+}
+
 // Where readings of the meter come with answers, in the time that they take, all doors of a customer that asks for many
 // times its quota send about the quota: what none of them can know yet is all that is beyond it.
 func TestAllDoorsKeepTheQuota(t *testing.T) {
--- a/gateway.go
+++ b/gateway.go
@@ -165,6 +165,7 @@
 	ended, bads      float64 // attempts ended, and badly, fading
 	aims, flow       float64 // sum of the aims of a second's answers; its mean
 	sends, sendRate  float64 // of this second; a second, on average
+	ticks            float64 // seconds counted so far
 	spare            float64 // attempts that may be called off
 }
 
@@ -844,7 +845,8 @@
 
 func (g *Gateway) tick() {
 	g.act(SetTimer{After: second, Token: 0})
-	g.sendRate += 0.5 * (g.sends - g.sendRate)
+	g.ticks++
+	g.sendRate += max(0.5, 1/g.ticks) * (g.sends - g.sendRate) // the first count replaces what was guessed
 	g.sends = 0
 	if sorted := slices.Sorted(slices.Values(g.worths)); len(sorted) > 0 {
 		g.median = sorted[len(sorted)/2]
--- a/health.go
+++ b/health.go
@@ -60,7 +60,11 @@
 			warm += g.warmth(o)
 		}
 	}
-	rate := max(g.sendRate, ready/float64(g.set.FrontDoors)) / min(ready, g.known())
+	sends := g.sendRate
+	if g.ticks == 0 { // a new door has counted nothing yet, and many may be new at once: what it has sent is all it knows
+		sends = g.sends
+	}
+	rate := max(sends, ready/float64(g.set.FrontDoors)) / min(ready, g.known())
 	part := w * min(ready/warm, coldMost*g.set.FallMultiple) // of what a warm one is sent on average
 	b.tokens = min(1, b.tokens+part*rate*(g.now-b.tokensAt).Seconds())
 	b.tokensAt = g.now
