--- a/internal/frontdoor/discovery.go
+++ b/internal/frontdoor/discovery.go
@@ -39,22 +39,32 @@
 
 var states = map[string]ct.BackendState{"Ready": ct.Ready, "Terminating": ct.Draining, "Gone": ct.Gone}
 
-// usable leaves out the entries that make no sense.
+// usable leaves out the entries that make no sense. One of them stands for all in the log.
 func usable(hosts []Endpoint) []Endpoint {
-	return slices.DeleteFunc(hosts, func(e Endpoint) bool {
+	var first Endpoint
+	left := 0
+	hosts = slices.DeleteFunc(hosts, func(e Endpoint) bool {
 		state, ok := states[e.Health]
 		bad := !ok || e.Host == "" || e.Dial == "" && state != ct.Gone || e.BornMS < 0
 		if bad {
-			slog.Warn("discovery: an entry that makes no sense", "entry", e)
+			if left == 0 {
+				first = e
+			}
+			left++
 		}
 		return bad
 	})
+	if left > 0 {
+		slog.Warn("discovery: entries that make no sense", "left out", left, "first", fmt.Sprintf("%.200q", fmt.Sprint(first)))
+	}
+	return hosts
 }
 
 const (
 	// A watch says something every 2 s, if only an empty line. One that is silent for longer is dead.
 	watchSilence = 3 * time.Second
 	fetchTimeout = time.Second // the agent answers at once, or is silent
+	mostList     = 1 << 20     // bytes of one list: thousands of backends
 )
 
 // Where the settings say that lists are pushed, an agent on the front door's own machine holds what it has been sent
@@ -230,7 +240,7 @@
 	}
 	defer res.Body.Close()
 	var list EndpointList
-	if err := json.NewDecoder(res.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(&bound{res.Body, mostList}).Decode(&list); err != nil {
 		return err
 	}
 	if !list.Whole {
@@ -256,9 +266,11 @@
 		return err
 	}
 	defer res.Body.Close()
-	lines := json.NewDecoder(heard{res.Body, func() { alarm.Reset(silence) }})
+	body := &bound{heard{res.Body, func() { alarm.Reset(silence) }}, mostList}
+	lines := json.NewDecoder(body)
 	for {
 		var list EndpointList
+		body.left = mostList
 		if err := lines.Decode(&list); err != nil {
 			return err
 		}
