Hold a part of less than one attempt by time, not by leaving doors without any

A probe printed the settings: 'parallel' 4, and requests name a spread of 15. Design: such a door may have one out, for its part of the time (limit / doors, at most a second of it saved up, none after a start). All doors together keep the limit on average, whatever is asked of them, and have no more out than they are doors. Where the limit gives each door one or more it holds at every moment, as before. The parts of the hard limits are a struct of their own now.

TestAllDoorsKeepTheCeilings fails without the count of time ('5.27 attempts of customer 0 out on average' of 3).

--- a/ceiling.go
+++ b/ceiling.go
@@ -12,8 +12,28 @@
 const (
 	holdAim      = 1.0 / 2 // of its aim is as long as a request is held for one of its customer's attempts to end
 	holdPatience = 1.0 / 4 // ... and of what its client waits: time to come again elsewhere remains
+	spareOpen    = 1.0     // seconds of attempts out that a door with a part of one saves up at most: some mean answers
 )
 
+// limits are this door's parts of a customer's hard limits, and what it has of them.
+type limits struct {
+	parts    float64 // that the ceiling is split into
+	hasCeil  bool    // one of them is this door's
+	ceil     float64 // what is left in it, as of ceilAt
+	ceilAt   time.Duration
+	openPart int     // attempts that may be out here
+	openTime float64 // where the part is less than one: the time of an attempt out saved up as of openAt, seconds
+	openAt   time.Duration
+	line     []*request // held until an attempt out ends; some have ended
+}
+
+// newLimits takes all to have been used up when this door started, as before a restart it may have been.
+func (g *Gateway) newLimits(plan *Plan, doors, offset int, id CustomerID) limits {
+	parts := ceilingParts(plan.CeilingBurst, g.set.LargestUnits, doors)
+	return limits{parts: float64(parts), hasCeil: offset < doors && rank(doors, offset, id) < parts, ceilAt: g.boot,
+		openPart: openPart(plan.Open, doors, offset, id), openAt: g.boot}
+}
+
 // rank orders the doors of a customer's set for what does not divide evenly between them, in another way for each
 // customer, so that no door is left out for all of them.
 func rank(doors, offset int, id CustomerID) int {
@@ -41,24 +61,38 @@
 	return int(max(1, min(float64(doors), math.Floor(burst/largest))))
 }
 
-// openPart is how many of a customer's attempts out this door may have, the offset-th of its set. What does not divide
-// evenly goes to some of the doors, other ones for each customer. Where there are fewer attempts than doors, one more
-// door has one: the rule leaves a slack of one request. The rest have none, as rounding up at every door would add up
-// to as many over the limit as there are doors.
+// openPart is how many of a customer's attempts out this door, the offset-th of its set, may have at a moment. What does
+// not divide evenly goes to some of the doors, other ones for each customer. Where there are fewer attempts than doors,
+// each may have one, and inPart holds it to its part of the time: to give the attempts to some of the doors would leave
+// the rest with none, and to them most of the customer's requests may come.
 func openPart(open, doors, offset int, id CustomerID) int {
-	if offset >= doors {
+	switch {
+	case offset >= doors:
 		return 0
+	case open < doors:
+		return 1
 	}
-	first := rank(doors, offset, id)
-	if open < doors {
-		return b2i(first <= open)
+	return open/doors + b2i(rank(doors, offset, id) < open%doors)
+}
+
+// inPart tells whether a further attempt may be out for the customer. A door whose part is less than one attempt is
+// granted that part of each second: it has one out for that share of the time at most, on average over spareOpen or
+// more, so that all doors together have no more out than the limit on average, however much is asked of all of them.
+// What it had out before a restart is not known, so a door begins with nothing saved up.
+func (g *Gateway) inPart(c *customer) bool {
+	if c.plan.Open <= 0 {
+		return true
 	}
-	return open/doors + b2i(first < open%doors)
+	g.countOpen(c, 0)
+	return c.open < c.openPart && (float64(c.plan.Open) >= c.doors || c.openTime >= 0)
 }
 
-// hasOpen tells whether a further attempt may be out for the customer.
-func (c *customer) hasOpen() bool {
-	return c.plan.Open <= 0 || c.open < c.openPart && len(c.line) == 0
+// countOpen counts a change of the customer's attempts out here, and the time that they took until now.
+func (g *Gateway) countOpen(c *customer, by int) {
+	part := float64(c.plan.Open) / c.doors
+	c.openTime = min(spareOpen, c.openTime+(part-float64(c.open))*(g.now-c.openAt).Seconds())
+	c.openAt = g.now
+	c.open += by
 }
 
 // held is the units that wait in the line.
@@ -88,9 +122,9 @@
 	return true
 }
 
-// next lets in from the customer's line what an ended attempt has made room for.
+// next lets in from the customer's line what there is room for again.
 func (g *Gateway) next(c *customer) {
-	for len(c.line) > 0 && c.open < c.openPart {
+	for len(c.line) > 0 && g.inPart(c) {
 		r := c.line[0]
 		c.line[0], c.line = nil, c.line[1:]
 		if r.awaits {
--- a/gateway.go
+++ b/gateway.go
@@ -104,14 +104,11 @@
 }
 
 type customer struct {
+	limits
 	plan         *Plan
 	doors        float64 // front doors that it uses
-	parts        float64 // parts of its ceiling
-	hasCeil      bool    // one of them is this door's
 	seen         time.Duration
 	open         int
-	openPart     int           // this door's part of the plan's attempts out
-	line         []*request    // held until an attempt out ends; some have ended
 	store        float64       // s: percent-seconds, as of storeAt
 	storeAt      time.Duration // the end of the last period that the meter told of
 	pass         float64       // f
@@ -122,8 +119,6 @@
 	lastUse      float64       // the value of that reading
 	period       float64       // the meter's, seconds
 	units        float64       // of the last request
-	ceil         float64       // this door's part of the ceiling's store, as of ceilAt
-	ceilAt       time.Duration
 }
 
 type tier struct {
@@ -242,8 +237,9 @@
 	}
 	g.seq++
 	r := &request{id: ev.ID, seq: g.seq, class: cl, cust: c, units: ev.Units, due: g.now + ev.Patience}
+	g.next(c)
 	switch {
-	case c.hasOpen():
+	case len(c.line) == 0 && g.inPart(c):
 		g.admit(r)
 	case !g.await(r):
 		g.act(Refuse{ev.ID, g.untilSlot()})
@@ -505,12 +501,9 @@
 	if c == nil || c.plan != plan {
 		doors := min(max(ev.Spread, 1), g.set.FrontDoors)
 		offset := ((g.set.Me-ev.FirstDoor)%g.set.FrontDoors + g.set.FrontDoors) % g.set.FrontDoors
-		parts := ceilingParts(plan.CeilingBurst, g.set.LargestUnits, doors)
-		c = &customer{plan: plan, doors: float64(doors), pass: 1, storeAt: g.now, parts: float64(parts),
-			hasCeil: offset < doors && rank(doors, offset, ev.Customer) < parts,
-			ceilAt:  g.boot, period: g.set.MeterPeriod.Seconds()}
+		c = &customer{plan: plan, doors: float64(doors), pass: 1, storeAt: g.now,
+			period: g.set.MeterPeriod.Seconds(), limits: g.newLimits(plan, doors, offset, ev.Customer)}
 		c.store = c.capacity()
-		c.openPart = openPart(plan.Open, doors, offset, ev.Customer)
 		g.customers[ev.Customer] = c
 	}
 	c.seen, c.units = g.now, max(ev.Units, 1e-6)
@@ -716,7 +709,7 @@
 	b.tokens--
 	g.sends++
 	g.spare = min(mostSpare, g.spare+spareShare)
-	r.cust.open++
+	g.countOpen(r.cust, 1)
 	g.act(Send{Request: r.id, Backend: b.ID})
 }
 
@@ -732,7 +725,7 @@
 	g.learn(r, t, ev)
 	s := t.slot
 	t.b.out--
-	r.cust.open--
+	g.countOpen(r.cust, -1)
 	defer g.next(r.cust)
 	if ev.HasUse {
 		g.onReading(r.cust, max(0, ev.Use))
