--- a/ceiling.go
+++ b/ceiling.go
@@ -63,8 +63,8 @@
 
 // openPart is how many of a customer's attempts out this door, the offset-th of its set, may have at a moment. What
 // does not divide evenly goes to some of the doors, other ones for each customer. Where there are fewer attempts than
-// doors, each may have one, and inPart holds it to its part of the time: to give the attempts to some of the doors would
-// leave the rest with none, and to them most of the customer's requests may come.
+// doors, each may have one, and inPart holds it to its part of the time: to give the attempts to some of the doors
+// would leave the rest with none, and to them most of the customer's requests may come.
 func openPart(open, doors, offset int, id CustomerID) int {
 	switch {
 	case offset >= doors:
