--- a/health.go
+++ b/health.go
@@ -61,7 +61,7 @@
 		}
 	}
 	sends := g.sendRate
-	if g.ticks == 0 { // a new door has counted nothing yet, and many may be new at once: what it has sent is all it knows
+	if g.ticks == 0 { // nothing counted yet, and many doors may be new at once: what it has sent is all that it knows
 		sends = g.sends
 	}
 	rate := max(sends, ready/float64(g.set.FrontDoors)) / min(ready, g.known())
