Send nothing on whose client has left, or whose key is forgotten, while it dialled

From reading, forced by tests: an attempt whose connection was coming up went out after its request had ended wherever the settings allow no cancel, since only Cancel reached it (Gateway.end, Loop.send). A cancel during a blocked write was not seen before the attempt's time was up (Backends.write set the deadline only). A keyed repeat was checked against the key's memory when it was decided, but could be written up to the connect time-out later.

Each attempt now has a second context that ends with its request, or when Send.Within is over; it covers the dial and the write, not the wait for the answer, so nothing that may have run is called off by it. A blocked write looks every 50 ms.

Ruled out: an id reused while an attempt is out is turned away (calls keeps it); a given-up attempt's connection is closed before its outcome is told, so before the next one's first byte (tested); a place replaced while dialling is dropped by the check behind the dial.

--- a/api.go
+++ b/api.go
@@ -241,6 +241,7 @@
 	Request RequestID
 	Backend BackendID
 	Timeout time.Duration // 0: until the client leaves
+	Within  time.Duration // an attempt that has not begun by then must not begin any more; 0: it may at any time
 }
 
 // Refuse is a final answer; it tells the client that trying again does no harm.
--- a/gateway.go
+++ b/gateway.go
@@ -686,10 +686,15 @@
 	if t == nil || r.class.Effect == Safe {
 		return true
 	}
-	return r.class.Effect == Keyed && g.now-t.sent+g.set.AnswerGrace < r.class.KeyWindow &&
+	return r.class.Effect == Keyed && g.keyed(r, t) > 0 &&
 		(group != GroupZone || t.b.Zone == b.Zone) && (group != GroupCell || t.b.Cell == b.Cell)
 }
 
+// keyed is for how long yet the backends remember an attempt that may have run.
+func (g *Gateway) keyed(r *request, t *attempt) time.Duration {
+	return r.class.KeyWindow - g.set.AnswerGrace - (g.now - t.sent)
+}
+
 // ran is the first attempt that may have run, or nil.
 func (r *request) ran() *attempt {
 	for i := range r.tries {
@@ -703,6 +708,10 @@
 // --- attempts
 
 func (g *Gateway) send(r *request, b *backend, s *slot) {
+	within := time.Duration(0)
+	if t := r.ran(); t != nil && r.class.Effect == Keyed { // its connection may come up when the key is forgotten
+		within = g.keyed(r, t)
+	}
 	r.tries = append(r.tries, attempt{b: b, sent: g.now, open: true, slot: s})
 	g.owes(b)
 	b.out++
@@ -710,7 +719,7 @@
 	g.sends++
 	g.spare = min(mostSpare, g.spare+spareShare)
 	g.countOpen(r.cust, 1)
-	g.act(Send{Request: r.id, Backend: b.ID})
+	g.act(Send{Request: r.id, Backend: b.ID, Within: within})
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(second)) }
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -464,6 +464,30 @@
 	}
 }
 
+// A keyed request's repeat must begin while the backends remember its key, also if its connection takes long to come up.
+// What never ran left no key behind.
+func TestKeyedRepeatsSayByWhenTheyMustBegin(t *testing.T) {
+	for _, c := range []struct {
+		class  string
+		first  Result
+		within bool
+	}{{"keyed", Broken, true}, {"keyed", NoConnection, false}, {"safe", Broken, false}} {
+		s := testSettings()
+		s.AnswerGrace = 8 * ms
+		r := newRig(t, s, fleet(2)...)
+		id, as := r.ask(c.class, "wide", 1)
+		if first := sends(as)[0]; first.Within != 0 {
+			t.Errorf("%s: a first attempt within %v", c.class, first.Within)
+		}
+		r.now += second
+		as = r.outcome(id, sends(as)[0].Backend, 0, c.first)
+		want := time.Duration(b2i(c.within)) * (r.g.classes[c.class].KeyWindow - second - 8*ms)
+		if got := sends(as); len(got) != 1 || got[0].Within != want {
+			t.Errorf("%s after %d: %+v, want it within %v", c.class, c.first, got, want)
+		}
+	}
+}
+
 func TestAttemptLimitAndTooLate(t *testing.T) {
 	s := testSettings()
 	s.MaxAttempts = 2
--- /dev/null
+++ b/internal/frontdoor/attempts_test.go
@@ -0,0 +1,161 @@
+package frontdoor
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	ct "cypresstrack"
+)
+
+// The tests of this file make an attempt cross with the end of its request, every time.
+
+// gatedDials lets the test hold connections while they come up. Each is told of on dialing.
+func gatedDials(b *Backends) (dialing chan bool, goOn chan bool) {
+	dialing, goOn = make(chan bool, 1), make(chan bool)
+	dial := b.pool.dial
+	b.pool.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dialing <- true
+		<-goOn
+		return dial(context.WithoutCancel(ctx), network, addr) // it has come up in the same moment as ctx ended
+	}
+	return dialing, goOn
+}
+
+// A request whose client leaves while its connection to the backend comes up is not sent on, also where the settings
+// allow no cancel, as nothing has been sent that could be cancelled. Neither is one that has its final answer.
+func TestNothingIsSentOnOnceItsClientHasLeft(t *testing.T) {
+	for how, leave := range leaving {
+		t.Run(how, func(t *testing.T) {
+			got := make(chan int, 1)
+			g := script(sendTo(1)) // and never a Cancel
+			d := openDoor(t, g, listen(t), raw(t, func(n int, _ net.Conn) { got <- n }))
+			dialing, goOn := gatedDials(d.loop.backends)
+			conn := dialAll(t, d.addr, 1)[0]
+			io.WriteString(conn, d.text(t, "pay", "00000000000000a1"))
+			await(t, dialing, "the connection to come up")
+			leave(conn)
+			next[ct.ClientGone](t, g)
+			goOn <- true
+			if out := next[ct.Outcome](t, g); out.Result != ct.NotSent || !out.Final {
+				t.Errorf("%+v", out)
+			}
+			if len(got) > 0 {
+				t.Error("the backend was sent the request")
+			}
+		})
+	}
+}
+
+// An attempt that must have begun by some time is not sent later, however late its connection comes up: a keyed
+// request's repeat would find the backends' memory of the first attempt gone.
+func TestAnAttemptThatComesTooLateIsNotSent(t *testing.T) {
+	got := make(chan int, 1)
+	g := script(func(ev ct.Event) []ct.Action {
+		if r, ok := ev.(ct.Request); ok {
+			return []ct.Action{ct.Send{Request: r.ID, Backend: 1, Within: time.Nanosecond}}
+		}
+		return nil
+	})
+	d := openDoor(t, g, listen(t), raw(t, func(n int, _ net.Conn) { got <- n }))
+	conn := dialAll(t, d.addr, 1)[0]
+	io.WriteString(conn, d.text(t, "pay", "00000000000000a1"))
+	if out := next[ct.Outcome](t, g); out.Result != ct.NotSent || out.Final {
+		t.Errorf("%+v", out)
+	}
+	if len(got) > 0 {
+		t.Error("the backend was sent the request")
+	}
+}
+
+// stuck is a connection whose other side takes nothing: a write ends by its deadline or by the close only.
+type stuck struct {
+	net.Conn
+	writing chan bool
+	once    sync.Once
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	s.once.Do(func() { close(s.writing) })
+	for {
+		if n, err := s.Conn.Write(p); err != nil || n == 0 {
+			return 0, err
+		}
+	}
+}
+
+// A write that blocks ends with its attempt, and the connection is closed before the attempt's outcome is told: what
+// the gateway sends next can't meet it.
+func TestABlockedWriteEndsWithItsAttempt(t *testing.T) {
+	ln := listen(t)
+	far := make(chan net.Conn, 1)
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			far <- c
+		}
+	}()
+	b, id := attempts(t, ln.Addr().String())
+	writing := make(chan bool)
+	var near *stuck
+	dial := b.pool.dial
+	b.pool.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		near = &stuck{Conn: c, writing: writing}
+		return near, err
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), patient)
+	defer cancel()
+	unsent, unsend := context.WithCancel(ctx)
+	result := make(chan ct.Result, 1)
+	go func() { result <- b.send(ctx, unsent, id, payMessage).result }()
+	await(t, writing, "the write")
+	unsend()
+	select {
+	case r := <-result:
+		if r != ct.NotSent {
+			t.Errorf("it ended as %v", r)
+		}
+	case <-time.After(patient / 2):
+		t.Fatal("the write went on after its request had ended")
+	}
+	if _, err := near.Conn.Write([]byte("x")); err == nil {
+		t.Error("the connection is open when the outcome is told")
+	}
+	(<-far).Close()
+}
+
+// The last byte of a given-up attempt's connection comes before the first of the next attempt.
+func TestAGivenUpAttemptIsClosedBeforeTheNext(t *testing.T) {
+	read := make(chan net.Conn, 2)
+	addr := raw(t, func(_ int, conn net.Conn) {
+		read <- conn
+		<-t.Context().Done()
+	})
+	g := script(func(ev ct.Event) []ct.Action {
+		switch ev := ev.(type) {
+		case ct.Request:
+			return []ct.Action{ct.Send{Request: ev.ID, Backend: 1}}
+		case ct.Timer:
+			return []ct.Action{ct.Cancel{Request: 0xa1}}
+		case ct.Outcome:
+			if !ev.Final && ev.Attempt == 0 {
+				return []ct.Action{ct.Send{Request: ev.Request, Backend: 1}}
+			}
+		}
+		return nil
+	})
+	d := openDoor(t, g, listen(t), addr)
+	conn := dialAll(t, d.addr, 1)[0]
+	io.WriteString(conn, d.text(t, "look", "00000000000000a1"))
+	first := <-read
+	d.loop.post(ct.Timer{})
+	<-read // the next one's bytes have come
+	for end := time.Now().Add(patient); pending(first) != ended; {
+		if time.Now().After(end) {
+			t.Fatal("the first attempt's connection is open")
+		}
+	}
+}
--- a/internal/frontdoor/backends.go
+++ b/internal/frontdoor/backends.go
@@ -146,16 +146,17 @@
 // errStale ends an attempt that is no longer wanted where its connection leads.
 var errStale = errors.New("the backend may be sent nothing new")
 
-// send makes one attempt and tells how it ended. It never sends twice.
-func (b *Backends) send(ctx context.Context, id ct.BackendID, m *message) *reply {
+// send makes one attempt and tells how it ended. It never sends twice. unsent is of ctx, and may end before it: then
+// what has not been written whole by then is not sent any more.
+func (b *Backends) send(ctx, unsent context.Context, id ct.BackendID, m *message) *reply {
 	r := &reply{result: ct.NotSent}
 	at := b.ready(id)
-	if at == nil || ctx.Err() != nil {
+	if at == nil || unsent.Err() != nil {
 		return r
 	}
-	c, err := b.write(ctx, id, at, m)
+	c, err := b.write(ctx, unsent, id, at, m)
 	if err != nil {
-		if ctx.Err() == nil && !errors.Is(err, errStale) && !errors.Is(err, errFull) && !errors.Is(err, syscall.EMFILE) {
+		if unsent.Err() == nil && !errors.Is(err, errStale) && !errors.Is(err, errFull) && !errors.Is(err, syscall.EMFILE) {
 			r.result = ct.NoConnection
 		}
 		if context.Cause(ctx) == context.Canceled {
@@ -193,36 +194,53 @@
 	b.faultLog.Do(func() { slog.Warn("an attempt broke", "backend", at.addr, "err", err) })
 }
 
-// write sends a request whole. An error means that its last byte was not written, so it has never run. A kept
-// connection that turns out to be dead before then is made up for by a new one.
-func (b *Backends) write(ctx context.Context, id ct.BackendID, at *place, m *message) (*kept, error) {
+// write sends a request whole, unless unsent ends before. An error means that its last byte was not written, so it has
+// never run. A kept connection that turns out to be dead before then is made up for by a new one.
+func (b *Backends) write(ctx, unsent context.Context, id ct.BackendID, at *place, m *message) (*kept, error) {
 	for fresh := false; ; fresh = true {
-		c, err := b.pool.get(ctx, at, fresh)
+		c, err := b.pool.get(unsent, at, fresh)
 		if err != nil {
 			return nil, err
 		}
 		// A connection may have taken long to come up.
-		if b.ready(id) != at || ctx.Err() != nil {
+		if b.ready(id) != at || unsent.Err() != nil {
 			b.pool.drop(c)
 			return nil, errStale
 		}
 		text, err := m.encode(ctx)
 		if err == nil {
-			due, _ := ctx.Deadline()
-			c.SetDeadline(due)
-			_, err = c.Write(text)
+			c.SetReadDeadline(time.Time{}) // from here on the context's end alone ends the wait
+			err = c.writeAll(unsent, text)
 		}
 		if err == nil {
-			c.SetDeadline(time.Time{}) // from here on the context's end alone ends the wait
 			return c, nil
 		}
 		b.pool.drop(c)
-		if !c.used || ctx.Err() != nil {
+		if !c.used || unsent.Err() != nil {
 			return nil, err
 		}
 	}
 }
 
+// writeTurn is how long a write that the other side does not take goes on until it looks whether it is still wanted.
+const writeTurn = 50 * time.Millisecond
+
+// writeAll writes a text whole, unless unsent ends before.
+func (c *kept) writeAll(unsent context.Context, text []byte) error {
+	for len(text) > 0 {
+		c.SetWriteDeadline(time.Now().Add(writeTurn))
+		n, err := c.Write(text)
+		text = text[n:]
+		if ne, ok := err.(net.Error); ok && ne.Timeout() && unsent.Err() == nil {
+			continue
+		}
+		if err != nil && len(text) > 0 {
+			return err
+		}
+	}
+	return nil
+}
+
 // encode gives one attempt's request as it stands on the wire.
 func (m *message) encode(ctx context.Context) ([]byte, error) {
 	header := m.header.Clone()
@@ -343,7 +361,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	start := time.Now()
-	r := b.send(ctx, id, m)
+	r := b.send(ctx, ctx, id, m)
 	out.Result, out.Took, out.Load = r.result, time.Since(start), r.load
 	if b.reports && r.result == ct.Answered {
 		out.Load = b.parseLoad(strings.TrimSpace(string(r.body)))
--- a/internal/frontdoor/backends_test.go
+++ b/internal/frontdoor/backends_test.go
@@ -46,11 +46,11 @@
 		b, id := attempts(t, addr)
 		ctx, cancel := context.WithTimeout(t.Context(), patient)
 		defer cancel()
-		if r := b.send(ctx, id, m); r.result != ct.Answered {
+		if r := b.send(ctx, ctx, id, m); r.result != ct.Answered {
 			t.Fatalf("%s: first attempt ended as %v", name, r.result)
 		}
 		time.Sleep(2 * restTime) // so that the second takes the same connection
-		if r := b.send(ctx, id, m); r.result != ct.Broken {
+		if r := b.send(ctx, ctx, id, m); r.result != ct.Broken {
 			t.Errorf("%s: on a connection that broke the attempt ended as %v, want Broken", name, r.result)
 		}
 		if n := seen.Load(); n != 2 {
@@ -123,7 +123,7 @@
 	} {
 		b, id := attempts(t, raw(t, c.answer))
 		ctx, cancel := context.WithTimeout(t.Context(), patient)
-		if r := b.send(ctx, id, payMessage); r.result != c.want || r.hasUse || r.load != nil {
+		if r := b.send(ctx, ctx, id, payMessage); r.result != c.want || r.hasUse || r.load != nil {
 			t.Errorf("%s: %v, want %v; use %v, load %v", name, r.result, c.want, r.hasUse, r.load)
 		}
 		cancel()
@@ -137,21 +137,21 @@
 	}
 	ln.Close() // nobody listens there now
 	b, id := attempts(t, ln.Addr().String())
-	if r := b.send(t.Context(), id, payMessage); r.result != ct.NoConnection {
+	if r := b.send(t.Context(), t.Context(), id, payMessage); r.result != ct.NoConnection {
 		t.Errorf("refused connection: %v", r.result)
 	}
 	silent := func(_ int, _ net.Conn) { <-t.Context().Done() }
 	b, id = attempts(t, raw(t, silent))
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	if r := b.send(ctx, id, payMessage); r.result != ct.TimedOut {
+	if r := b.send(ctx, ctx, id, payMessage); r.result != ct.TimedOut {
 		t.Errorf("no answer in time: %v", r.result)
 	}
 	read := make(chan bool, 1)
 	b, id = attempts(t, raw(t, func(int, net.Conn) { read <- true; <-t.Context().Done() }))
 	ctx, cancel = context.WithCancel(t.Context())
 	go func() { <-read; cancel() }()
-	if r := b.send(ctx, id, payMessage); r.result != ct.Cancelled {
+	if r := b.send(ctx, ctx, id, payMessage); r.result != ct.Cancelled {
 		t.Errorf("called off: %v", r.result)
 	}
 }
@@ -162,7 +162,7 @@
 		w.Header().Set("X-RateLimit-Used", "85")
 		w.Header().Set("Server-Load", "qps=31.5, queue=2,new=7")
 	}))
-	r := b.send(t.Context(), id, lookMessage)
+	r := b.send(t.Context(), t.Context(), id, lookMessage)
 	if !r.hasUse || r.use != 85 || !slices.Equal(r.load, []float64{2, 31.5}) {
 		t.Errorf("use %v %v, load %v", r.hasUse, r.use, r.load)
 	}
@@ -189,7 +189,7 @@
 		id := b.update(list, clock{time.Now()})[0].ID
 		if warm { // the drain is told between two attempts
 			go func() { <-dialing; goOn <- true }()
-			b.send(t.Context(), id, lookMessage)
+			b.send(t.Context(), t.Context(), id, lookMessage)
 			<-got
 			list.Hosts[0].Health = "Terminating"
 			b.update(list, clock{time.Now()})
@@ -201,7 +201,7 @@
 				goOn <- true
 			}()
 		}
-		if r := b.send(t.Context(), id, lookMessage); r.result != ct.NotSent {
+		if r := b.send(t.Context(), t.Context(), id, lookMessage); r.result != ct.NotSent {
 			t.Errorf("%s: to a draining backend: %v, want NotSent", name, r.result)
 		}
 		select {
@@ -236,7 +236,7 @@
 	list := ready(ln.Addr().String())
 	id := b.update(list, clock{time.Now()})[0].ID
 	for range 5 {
-		if r := b.send(t.Context(), id, lookMessage); r.result != ct.Answered {
+		if r := b.send(t.Context(), t.Context(), id, lookMessage); r.result != ct.Answered {
 			t.Fatal(r.result)
 		}
 		time.Sleep(2 * restTime)
@@ -253,7 +253,7 @@
 	c.Conns.Idle = 50 * time.Millisecond
 	b = NewBackends(c)
 	id = b.update(list, clock{time.Now()})[0].ID
-	b.send(t.Context(), id, lookMessage)
+	b.send(t.Context(), t.Context(), id, lookMessage)
 	await(t, closed, "the idle connection to be closed")
 }
 
@@ -267,9 +267,9 @@
 	id := b.update(ready(addr), clock{time.Now()})[0].ID
 	ctx, cancel := context.WithCancel(t.Context())
 	first := make(chan ct.Result)
-	go func() { first <- b.send(ctx, id, lookMessage).result }()
+	go func() { first <- b.send(ctx, ctx, id, lookMessage).result }()
 	await(t, read, "the first attempt")
-	if r := b.send(t.Context(), id, lookMessage); r.result != ct.NotSent {
+	if r := b.send(t.Context(), t.Context(), id, lookMessage); r.result != ct.NotSent {
 		t.Errorf("one too many: %v, want NotSent", r.result)
 	}
 	cancel()
@@ -278,7 +278,7 @@
 	}
 	addr = serve(t, func(http.ResponseWriter, *http.Request) {})
 	id = b.update(ready(addr), clock{time.Now()})[0].ID
-	if r := b.send(t.Context(), id, lookMessage); r.result != ct.Answered {
+	if r := b.send(t.Context(), t.Context(), id, lookMessage); r.result != ct.Answered {
 		t.Errorf("with none out: %v", r.result)
 	}
 }
@@ -290,7 +290,7 @@
 		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
 	}
 	id := b.update(ready("127.0.0.1:1"), clock{time.Now()})[0].ID
-	if r := b.send(t.Context(), id, lookMessage); r.result != ct.NotSent {
+	if r := b.send(t.Context(), t.Context(), id, lookMessage); r.result != ct.NotSent {
 		t.Errorf("%v, want NotSent", r.result)
 	}
 }
@@ -334,7 +334,7 @@
 			})
 			b, id := attempts(t, addr)
 			for range 3 {
-				if r := b.send(t.Context(), id, lookMessage); r.result != ct.Answered || string(r.body) != "ok" {
+				if r := b.send(t.Context(), t.Context(), id, lookMessage); r.result != ct.Answered || string(r.body) != "ok" {
 					t.Errorf("%s: %v %q", name, r.result, r.body)
 				}
 				time.Sleep(2 * restTime)
@@ -363,14 +363,14 @@
 	b, id := attempts(t, addr)
 	done := make(chan bool, 2)
 	for range 2 {
-		go func() { b.send(t.Context(), id, lookMessage); done <- true }()
+		go func() { b.send(t.Context(), t.Context(), id, lookMessage); done <- true }()
 		await(t, both, "two requests at once")
 	}
 	close(goOn)
 	await(t, done, "the first answer")
 	await(t, done, "the second answer")
 	time.Sleep(2 * restTime)
-	if r := b.send(t.Context(), id, lookMessage); r.result != ct.Unknown {
+	if r := b.send(t.Context(), t.Context(), id, lookMessage); r.result != ct.Unknown {
 		t.Errorf("a spoilt answer ended as %v", r.result)
 	}
 	b.pool.mu.Lock()
@@ -391,7 +391,7 @@
 		list := EndpointList{Hosts: []Endpoint{{Host: "s-" + string(rune('a'+i)), Dial: addr, Health: "Ready"}}}
 		id := b.update(list, clock{time.Now()})[0].ID
 		ids[id] = true
-		if r := b.send(t.Context(), id, lookMessage); r.result != ct.Answered {
+		if r := b.send(t.Context(), t.Context(), id, lookMessage); r.result != ct.Answered {
 			t.Fatal(r.result)
 		}
 		if i > 0 { // the next one is there before the last is gone
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -203,3 +203,54 @@
 		}
 	}
 }
+
+// openDoor starts a door on a listener of the test's.
+func openDoor(t *testing.T, gateway decider, ln net.Listener, addrs ...string) *door {
+	t.Helper()
+	c := config(t)
+	backends := NewBackends(c)
+	loop := newLoop(clock{time.Now()}, gateway, backends)
+	loop.Update(ready(addrs...))
+	ctx, stop := context.WithCancel(context.Background())
+	d := &door{addr: ln.Addr().String(), loop: loop, stop: stop, done: make(chan error, 1)}
+	go func() { d.done <- NewClients(c, loop).Run(ctx, ln) }()
+	t.Cleanup(stop)
+	return d
+}
+
+func listen(t *testing.T) *net.TCPListener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln.(*net.TCPListener)
+}
+
+// text is a good request as it stands on the wire.
+func (d *door) text(t *testing.T, class, id string) string {
+	t.Helper()
+	var text strings.Builder
+	if err := d.ask(t, class, func(r *http.Request) { r.Header.Set("Request-Id", id) }).Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	return text.String()
+}
+
+// refuseAll refuses every request at once.
+func refuseAll(ev ct.Event) []ct.Action {
+	if r, ok := ev.(ct.Request); ok {
+		return []ct.Action{ct.Refuse{Request: r.ID}}
+	}
+	return nil
+}
+
+// leaving is how a client goes: by a close, which its machine tells as a reset if it has left something unread.
+var leaving = map[string]func(net.Conn){
+	"closes": func(c net.Conn) { c.Close() },
+	"resets": func(c net.Conn) {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	},
+}
--- a/internal/frontdoor/loop.go
+++ b/internal/frontdoor/loop.go
@@ -54,10 +54,23 @@
 	due      time.Time   // attempts end by then
 	final    chan answer // takes the final answer, if there is one before the caller leaves
 	ended    bool
-	attempts []context.CancelFunc
+	attempts []attempt
 	out      int // attempts that have not ended
 }
 
+// attempt is what can be done about an attempt that is out: unsend ends one of which nothing has been written whole,
+// and cancel one in any state.
+type attempt struct{ unsend, cancel context.CancelFunc }
+
+// end marks a request as ended. What has not left this front door by now never does, whatever the settings allow of
+// attempts that have.
+func (c *call) end() {
+	c.ended = true
+	for _, a := range c.attempts {
+		a.unsend()
+	}
+}
+
 // decider is what the loop needs of the gateway.
 type decider interface {
 	Handle(now time.Duration, ev ct.Event, actions []ct.Action) []ct.Action
@@ -144,7 +157,7 @@
 	if c.ended {
 		return false
 	}
-	c.ended = true
+	c.end()
 	l.handle(ct.ClientGone{Request: c.id})
 	l.forget(c)
 	return true
@@ -172,7 +185,7 @@
 		l.finish(a.Request, answer{kind: failed})
 	case ct.Cancel:
 		if c := l.calls[a.Request]; c != nil && a.Attempt < len(c.attempts) {
-			c.attempts[a.Attempt]()
+			c.attempts[a.Attempt].cancel()
 		}
 	case ct.SetTimer:
 		time.AfterFunc(a.After, func() { l.post(ct.Timer{Token: a.Token}) })
@@ -199,7 +212,7 @@
 	}
 	n := len(c.attempts)
 	if c.ended {
-		c.attempts = append(c.attempts, func() {})
+		c.attempts = append(c.attempts, attempt{unsend: func() {}, cancel: func() {}})
 		l.events = append(l.events, ct.Outcome{Request: c.id, Backend: a.Backend, Attempt: n, Result: ct.NotSent,
 			Final: true})
 		return
@@ -211,12 +224,16 @@
 		}
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), due)
-	c.attempts = append(c.attempts, cancel)
+	unsent, unsend := context.WithCancel(ctx)
+	if a.Within > 0 {
+		unsent, unsend = context.WithTimeout(ctx, a.Within)
+	}
+	c.attempts = append(c.attempts, attempt{unsend: unsend, cancel: cancel})
 	c.out++
 	sent := l.clock.now()
 	go func() {
-		defer cancel()
-		r := l.backends.send(ctx, a.Backend, c.msg)
+		defer cancel() // and unsent with it
+		r := l.backends.send(ctx, unsent, a.Backend, c.msg)
 		l.outcome(c, r, ct.Outcome{Request: c.id, Backend: a.Backend, Attempt: n, Result: r.result,
 			Took: l.clock.now() - sent, HasUse: r.hasUse, Use: r.use, Load: r.load})
 	}()
@@ -241,7 +258,7 @@
 	if c == nil || c.ended {
 		return
 	}
-	c.ended = true
+	c.end()
 	c.final <- a
 	l.forget(c)
 }
