--- a/gateway.go
+++ b/gateway.go
@@ -38,6 +38,7 @@
 	shareDecay = 0.9        // how fast the customer's share at this door is relearnt, a reading
 	knownFor   = 4 * second // a door keeps to as many backends as it sends requests in this time
 	knownLeast = 4.0        // ... and to this many at least
+	mostTries  = 3          // attempts for one request at most, also where the settings allow more
 )
 
 const partHigh, partLow, partPool = 0, 1, 2 // parts of the slots
@@ -791,7 +792,7 @@
 // retry sends a request whose attempts have all failed once more, in the slot of the last, if the client can
 // still be answered in time. It needs no budget of its own: N bounds all that is out.
 func (g *Gateway) retry(r *request, s *slot) bool {
-	if len(r.tries) >= g.set.MaxAttempts || (r.due-g.now).Seconds() < r.class.lat/2 {
+	if len(r.tries) >= min(g.set.MaxAttempts, mostTries) || (r.due-g.now).Seconds() < r.class.lat/2 {
 		return false
 	}
 	b := g.choose(r)
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -488,6 +488,23 @@
 	}
 }
 
+// However many attempts the settings allow, three are made at most.
+func TestThreeAttemptsAtMost(t *testing.T) {
+	s := testSettings()
+	s.MaxAttempts = 5
+	r := newRig(t, s, fleet(9)...)
+	id, as := r.ask("safe", "wide", 1)
+	for n := range 3 {
+		if len(sends(as)) != 1 {
+			t.Fatalf("attempt %d: %v", n, as)
+		}
+		as = r.outcome(id, sends(as)[0].Backend, n, AnsweredErr)
+	}
+	if n, _ := finals(as); n != 1 || len(sends(as)) != 0 {
+		t.Errorf("after the third: %v", as)
+	}
+}
+
 func TestAttemptLimitAndTooLate(t *testing.T) {
 	s := testSettings()
 	s.MaxAttempts = 2
