See clients leave behind pipelined requests, and end without closing unread ones

From reading, forced by tests. Leaving: net/http watches with a read of one byte and ends its watch with the first byte of a pipelined request, so a leaving behind it went unseen and the request was sent on. clientConn now keeps what comes ahead of an answer, up to 16 KiB, and reads on. After a leaving the connection ends: what was sent ahead is not begun.

End: http.Server.Shutdown closes the listener with connections in its backlog, which resets them, and closes idle connections whatever has come on them; a connection counts as idle until a whole head is read. drain now takes what is in the backlog before the close, closes only what a look at the socket shows to be silent, and gives new connections 150 ms. What comes late has its patience cut to the moment from which the platform may kill the process.

Ruled out: connTable.shrink looks already; the body's deadline can't end the watch, which resets it when it begins; ReadHeaderTimeout behind a first byte ends a head that took over 1.5 s, which none of our clients sends.

Tests fail without each part: no ClientGone; a request in the backlog or on a kept connection reset at the end.

--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -36,10 +36,12 @@
 
 	// After SIGTERM new connections are taken for at least drainLeast, then until none has come for
 	// drainQuiet, and for no longer than drainMost. The platform kills us no sooner than drainMost after the
-	// longest deadline.
+	// longest deadline, or after killCounts if that is shorter.
 	drainLeast = 500 * time.Millisecond
 	drainQuiet = 150 * time.Millisecond
 	drainMost  = 700 * time.Millisecond
+	killCounts = 3 * time.Second
+	drainLook  = 10 * time.Millisecond // between two looks at what is still open
 )
 
 // Clients is the side of the front door that clients see.
@@ -50,8 +52,8 @@
 	plans    map[string]bool
 	longest  time.Duration // of all deadlines
 	conns    *connTable
-	closing  atomic.Bool
-	lastConn atomic.Int64 // when the last connection was accepted, Unix time in nanoseconds
+	killed   atomic.Pointer[time.Time] // when the platform may kill this process; nil before SIGTERM
+	lastConn atomic.Int64              // when the last connection was accepted, Unix time in nanoseconds
 	badLog   rate.Sometimes
 	lateLog  rate.Sometimes
 }
@@ -91,32 +93,53 @@
 			c.conns.note(conn, s)
 		},
 	}
+	defer srv.Close()
+	accepts := &clientListener{Listener: listener}
 	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(clientListener{listener}) }()
+	go func() { ended <- srv.Serve(accepts) }()
 	select {
 	case err := <-ended:
 		return err
 	case <-ctx.Done():
 	}
-	c.closing.Store(true)
+	return c.drain(accepts, ended)
+}
+
+// drain ends what Run serves. The server's own Shutdown is not used: it resets connections that have not been accepted
+// yet, and closes idle ones whatever has come on them.
+func (c *Clients) drain(accepts *clientListener, ended <-chan error) error {
 	start := time.Now()
+	killed := start.Add(drainMost + min(c.longest, killCounts))
+	c.killed.Store(&killed)
 	for time.Since(start) < drainLeast ||
 		time.Since(start) < drainMost && time.Since(time.Unix(0, c.lastConn.Load())) < drainQuiet {
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(drainLook)
+	}
+	if err := accepts.finish(); err != nil {
+		return fmt.Errorf("end of listening: %w", err)
+	}
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("end of listening: %w", err)
+	}
+	for c.conns.closeQuiet(drainQuiet) > 0 && time.Since(start) < drainMost+c.longest {
+		time.Sleep(drainLook)
+	}
+	return nil
+}
+
+// lastAnswer tells the client, once this process is to end, that its connection ends with this answer.
+func (c *Clients) lastAnswer(w http.ResponseWriter) {
+	if c.killed.Load() != nil {
+		w.Header().Set("Connection", "close")
 	}
-	stop, cancel := context.WithTimeout(context.Background(), c.longest)
-	defer cancel()
-	return srv.Shutdown(stop)
 }
 
 // ServeHTTP takes one request and gives it its one final answer.
 func (c *Clients) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if c.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if r.URL.Path == "/ready" {
-		if c.closing.Load() {
+		c.lastAnswer(w)
+		if c.killed.Load() != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -125,20 +148,26 @@
 	if err == nil {
 		msg.body, err = readBody(w, r, msg.method)
 	}
+	if killed := c.killed.Load(); killed != nil {
+		timeout = min(timeout, killed.Sub(arrived)) // what comes late must have its answer by then as well
+	}
 	if err == nil {
 		req.Patience = timeout - gatewayMargin - time.Since(arrived)
 		ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(timeout-lastMomentMargin))
 		defer cancel()
 		var a answer
 		if a, err = c.loop.Serve(ctx, req, msg); err == nil {
+			c.lastAnswer(w)
 			c.answer(w, a)
 			return
 		}
 	}
+	c.lastAnswer(w)
 	switch {
 	case errors.Is(err, context.Canceled):
 		// Most likely nobody is there to be told. But a client may have ended its sending only, and without a
-		// word from here it would read an empty 200.
+		// word from here it would read an empty 200. What it sent behind is not served.
+		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusBadGateway)
 	case errors.Is(err, context.DeadlineExceeded):
 		c.lateLog.Do(func() { slog.Warn("answered at the last moment", "class", req.Class, "timeout", timeout) })
--- /dev/null
+++ b/internal/frontdoor/crossing_test.go
@@ -0,0 +1,209 @@
+package frontdoor
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	ct "cypresstrack"
+)
+
+// The tests of this file make two events cross in the order that does harm, every time.
+
+// A client that sends a second request behind the first and leaves has left both: the first ends, the second is not
+// begun. The server's own watch for its leaving ends with the first byte of the second request.
+func TestAClientThatLeavesBehindAPipelinedRequest(t *testing.T) {
+	for how, leave := range leaving {
+		for ahead, together := range map[string]bool{"in one piece": true, "behind": false} {
+			t.Run(how+" "+ahead, func(t *testing.T) {
+				g := script(nil)
+				d := startDoor(t, g)
+				conn := dialAll(t, d.addr, 1)[0]
+				first, second := d.text(t, "look", "00000000000000a1"), d.text(t, "pay", "00000000000000a2")
+				if together {
+					first, second = first+second, ""
+				}
+				io.WriteString(conn, first)
+				if id := next[ct.Request](t, g).ID; id != 0xa1 {
+					t.Fatalf("the gateway heard of %x first", id)
+				}
+				io.WriteString(conn, second)
+				leave(conn)
+				if gone := next[ct.ClientGone](t, g); gone.Request != 0xa1 {
+					t.Errorf("%x is gone", gone.Request)
+				}
+				d.stop()
+				if err := <-d.done; err != nil { // from here on nothing can come of the connection any more
+					t.Error(err)
+				}
+				for len(g.heard) > 0 {
+					if r, ok := (<-g.heard).(ct.Request); ok {
+						t.Errorf("request %x was begun after its client had left", r.ID)
+					}
+				}
+			})
+		}
+	}
+}
+
+// What is sent ahead of an answer and not left behind is served next, in its order.
+func TestRequestsSentAheadAreServedInOrder(t *testing.T) {
+	goOn := make(chan bool, 1)
+	read := make(chan bool, 3)
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		read <- true
+		<-goOn
+		io.WriteString(w, r.Header.Get("Request-Id"))
+	})
+	d := startDoor(t, nil, addr)
+	conn := dialAll(t, d.addr, 1)[0]
+	io.WriteString(conn, d.text(t, "look", "00000000000000a1"))
+	await(t, read, "the first attempt")
+	io.WriteString(conn, d.text(t, "pay", "00000000000000a2")+d.text(t, "look", "00000000000000a3")[:60])
+	io.WriteString(conn, d.text(t, "look", "00000000000000a3")[60:])
+	close(goOn)
+	answers := bufio.NewReader(conn)
+	for _, want := range []string{"00000000000000a1", "00000000000000a2", "00000000000000a3"} {
+		res, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(res.Body); err != nil || string(body) != want {
+			t.Errorf("%s %q, %v; want %q", res.Status, body, err, want)
+		}
+	}
+}
+
+// What a client may send ahead is bounded: more ends its request and its connection.
+func TestWhatIsSentAheadIsBounded(t *testing.T) {
+	g := script(nil)
+	d := startDoor(t, g)
+	conn := dialAll(t, d.addr, 1)[0]
+	io.WriteString(conn, d.text(t, "look", "00000000000000a1"))
+	next[ct.Request](t, g)
+	go io.WriteString(conn, strings.Repeat("GET /look HTTP/1.1\r\n", 2*maxAhead/20))
+	next[ct.ClientGone](t, g)
+	awaitEnd(t, conn)
+}
+
+// held is a listener that gives out connections only once somebody has ended it, be it by a deadline or a close.
+type held struct {
+	*net.TCPListener
+	once sync.Once
+	open chan bool
+}
+
+func (h *held) Accept() (net.Conn, error) {
+	<-h.open
+	return h.TCPListener.Accept()
+}
+
+func (h *held) SetDeadline(t time.Time) error {
+	defer h.once.Do(func() { close(h.open) })
+	return h.TCPListener.SetDeadline(t)
+}
+
+func (h *held) Close() error {
+	defer h.once.Do(func() { close(h.open) })
+	return h.TCPListener.Close()
+}
+
+// Connections that the system has accepted, and nobody has taken when the listening ends, are served.
+func TestTheBacklogIsServedAtTheEnd(t *testing.T) {
+	d := openDoor(t, script(refuseAll), &held{TCPListener: listen(t), open: make(chan bool)})
+	conns := dialAll(t, d.addr, 3)
+	for i, c := range conns {
+		io.WriteString(c, d.text(t, "look", fmt.Sprintf("00000000000000a%d", i)))
+	}
+	d.stop()
+	for _, c := range conns {
+		c.SetReadDeadline(time.Now().Add(patient))
+		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != 503 || !res.Close {
+			t.Errorf("answered %v, %v", res, err)
+		}
+	}
+	if err := <-d.done; err != nil {
+		t.Error(err)
+	}
+}
+
+// slowReads gives out connections whose reads of requests wait, once the test says so, until somebody looks at what has
+// come on the connection, or closes it: whatever comes before is there and not read. Requests are read into a buffer of
+// the server's; shorter reads are those that watch for the client's leaving.
+type slowReads struct {
+	*net.TCPListener
+	wait   chan bool // closed: from now on
+	looked chan bool
+	once   sync.Once
+}
+
+type slowRead struct {
+	net.Conn
+	l *slowReads
+}
+
+func (l *slowReads) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	return &slowRead{c, l}, err
+}
+
+func (l *slowReads) look() { l.once.Do(func() { close(l.looked) }) }
+
+func (c *slowRead) Read(p []byte) (int, error) {
+	select {
+	case <-c.l.wait:
+		if len(p) > 1<<10 {
+			<-c.l.looked
+		}
+	default:
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *slowRead) Close() error {
+	defer c.l.look()
+	return c.Conn.Close()
+}
+
+func (c *slowRead) SyscallConn() (syscall.RawConn, error) {
+	defer c.l.look()
+	return c.Conn.(*net.TCPConn).SyscallConn()
+}
+
+// A request that has come on a kept connection, and is not read yet, when the quiet connections are closed at the end
+// is served.
+func TestARequestOnAKeptConnectionIsServedAtTheEnd(t *testing.T) {
+	ln := &slowReads{TCPListener: listen(t), wait: make(chan bool), looked: make(chan bool)}
+	g := script(func(ev ct.Event) []ct.Action {
+		if r, ok := ev.(ct.Request); ok {
+			if r.ID == 0xa1 {
+				close(ln.wait) // all reads after this request's own
+			}
+			return []ct.Action{ct.Refuse{Request: r.ID}}
+		}
+		return nil
+	})
+	d := openDoor(t, g, ln)
+	conn := dialAll(t, d.addr, 1)[0]
+	conn.SetReadDeadline(time.Now().Add(patient))
+	answers := bufio.NewReader(conn)
+	for i, class := range []string{"look", "pay"} {
+		io.WriteString(conn, d.text(t, class, fmt.Sprintf("00000000000000a%d", i+1)))
+		if i == 1 {
+			d.stop()
+		}
+		if res, err := http.ReadResponse(answers, nil); err != nil || res.StatusCode != 503 || res.Close != (i == 1) {
+			t.Fatalf("answered %v, %v", res, err)
+		}
+	}
+	if err := <-d.done; err != nil {
+		t.Error(err)
+	}
+}
