Ask a silent agent again within the time that sends to draining backends may go on

What an agent gets when discovery returns counts as told at once, and so does what changes while a reset watch is not open yet. An ask in vain took up to 1 s and the pause behind it up to 0.5 s, which is over the 0.5 s of the settings (fetchTimeout, retryLeast). Both are now shares of the settings' own figure, a half and a quarter of it. An answer's head counts as a word: nothing has to be in the list for it.

Test: a silent agent is asked again within DrainGrace, on a fake clock; it fails on the text before.

--- a/internal/frontdoor/discovery.go
+++ b/internal/frontdoor/discovery.go
@@ -63,14 +63,15 @@
 const (
 	// A watch says something every 2 s, if only an empty line. One that is silent for longer is dead.
 	watchSilence = 3 * time.Second
-	fetchTimeout = time.Second // the agent answers at once, or is silent
-	mostList     = 1 << 20     // bytes of one list: thousands of backends
+	fetchTimeout = time.Second
+	mostList     = 1 << 20 // bytes of one list: thousands of backends
 )
 
 // Where the settings say that lists are pushed, an agent on the front door's own machine holds what it has been sent
 // and answers at once and at no cost to anybody. There is nothing to spare by waiting, and much to lose: what the
-// agent holds counts as told, so a door that has just started with an old list may send to a backend that drains
-// for DrainGrace and no longer. It asks at once, and again within retryLeast after each failure.
+// agent holds counts as told, whether or not a watch is open, so a door that has just started, whose watch has just
+// been reset, or whose agent was silent until a moment ago may send to a backend that drains for DrainGrace and no
+// longer. It asks at once, and each ask in vain and the pause behind it take less than that together.
 //
 // Where the list has to be asked for, discovery is one service of fixed capacity for the whole fleet, and one hiccup of
 // it ends the watches of all front doors at the same moment. Should all come back at once, it would answer few of them
@@ -83,6 +84,9 @@
 	retryLeast     = 500 * time.Millisecond
 	retryDoublings = 2
 	failedLasts    = 4 // a failed ask puts off what counts as told to this many times MustAsk
+
+	agentAsk   = 1.0 / 2 // of DrainGrace is how long an agent may take to answer
+	agentPause = 1.0 / 4 // ... and this at most is waited after an ask in vain
 )
 
 // pace is how a door of a fleet spreads its asks.
@@ -90,17 +94,23 @@
 	doors   int
 	shared  bool          // all doors ask one service
 	mustAsk time.Duration // what was listed this long ago counts as told to a door that has not asked since; 0: not so
+	grace   time.Duration // how long sends to a backend that drains may go on
 }
 
 // paceOf is the pace that the settings call for.
 func paceOf(c Config) pace {
-	return pace{doors: c.Settings.FrontDoors, shared: c.Settings.AskForList, mustAsk: c.Conns.MustAsk}
+	p := pace{doors: c.Settings.FrontDoors, shared: c.Settings.AskForList, mustAsk: c.Conns.MustAsk,
+		grace: c.Settings.DrainGrace}
+	if p.grace <= 0 { // not told
+		p.grace = retryLeast
+	}
+	return p
 }
 
 // retry is the pause after so many failures in a row, with full jitter.
 func (p pace) retry(failures int) time.Duration {
 	if !p.shared {
-		return rand.N(retryLeast)
+		return rand.N(max(1, time.Duration(agentPause*float64(p.grace))))
 	}
 	first := max(retryLeast, time.Duration(p.doors)*askEvery)
 	return rand.N(p.atMost(failedLasts, first<<min(max(failures-1, 0), retryDoublings)))
@@ -128,9 +138,12 @@
 	if p.shared {
 		return watchSilence
 	}
-	return fetchTimeout
+	return time.Duration(agentAsk * float64(p.grace))
 }
 
+// whole is how long an ask for the whole list may take.
+func (p pace) whole() time.Duration { return min(fetchTimeout, p.firstWord()) }
+
 // takeWhole, as a version to start from, asks for the whole list first.
 const takeWhole = -1
 
@@ -176,7 +189,7 @@
 	for ctx.Err() == nil {
 		var err error
 		if from == takeWhole {
-			err = fetch(ctx, rt, addr, &from, heardOf)
+			err = fetch(ctx, rt, addr, p.whole(), &from, heardOf)
 		}
 		if err == nil {
 			err = watch(ctx, rt, addr, p.firstWord(), watchSilence, &from, heardOf)
@@ -231,8 +244,9 @@
 }
 
 // fetch takes the whole list, once.
-func fetch(ctx context.Context, rt http.RoundTripper, addr string, from *int64, update func(EndpointList)) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+func fetch(ctx context.Context, rt http.RoundTripper, addr string, within time.Duration, from *int64,
+	update func(EndpointList)) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	res, err := ask(ctx, rt, fmt.Sprintf("http://%s/v1/endpoints", addr))
 	if err != nil {
@@ -266,6 +280,7 @@
 		return err
 	}
 	defer res.Body.Close()
+	alarm.Reset(silence)
 	body := &bound{heard{res.Body, func() { alarm.Reset(silence) }}, mostList}
 	lines := json.NewDecoder(body)
 	for {
--- a/internal/frontdoor/discovery_test.go
+++ b/internal/frontdoor/discovery_test.go
@@ -214,7 +214,10 @@
 
 func TestPausesStayInBounds(t *testing.T) {
 	const mustAsk = 10 * time.Second
-	shared := func(doors int, mustAsk time.Duration) pace { return pace{doors, true, mustAsk} }
+	shared := func(doors int, mustAsk time.Duration) pace {
+		return pace{doors: doors, shared: true, mustAsk: mustAsk}
+	}
+	const grace = time.Second
 	for _, c := range []struct {
 		pace     pace
 		failures int
@@ -222,8 +225,8 @@
 	}{{shared(1, 0), 1, retryLeast}, {shared(4, 0), 2, 2 * retryLeast}, {shared(80, 0), 0, 8 * time.Second},
 		{shared(80, 0), 1, 8 * time.Second}, {shared(80, 0), 2, 16 * time.Second},
 		{shared(80, 0), 1 << 40, 32 * time.Second}, {shared(80, mustAsk), 1 << 40, 20 * time.Second},
-		{shared(1_000_000, mustAsk), 1, 20 * time.Second}, {pace{doors: 300}, 1, retryLeast},
-		{pace{doors: 300}, 1 << 40, retryLeast}} {
+		{shared(1_000_000, mustAsk), 1, 20 * time.Second}, {pace{doors: 300, grace: grace}, 1, grace / 4},
+		{pace{doors: 300, grace: grace}, 1 << 40, grace / 4}} {
 		longest := time.Duration(0)
 		for range 1000 {
 			longest = max(longest, c.pace.retry(c.failures))
@@ -243,7 +246,8 @@
 }
 
 // A front door that starts with an old list of a large fleet has DrainGrace to learn which of its backends drain, where
-// an agent of its own machine can tell it: it asks before anything else can happen, and again soon if that failed.
+// an agent of its own machine can tell it: it asks before anything else can happen, and again soon if that failed. The
+// same holds from the moment on in which an agent that was silent answers again.
 func TestAnAgentIsAskedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
@@ -255,7 +259,8 @@
 			<-r.Context().Done()
 			return nil, r.Context().Err()
 		})
-		p := paceOf(Config{Settings: ct.Settings{FrontDoors: 300}})
+		const grace = 400 * time.Millisecond
+		p := paceOf(Config{Settings: ct.Settings{FrontDoors: 300, DrainGrace: grace}})
 		if sleep(ctx, p.start()) {
 			keepWatching(ctx, silent, p, "agent", 1, func(EndpointList) {})
 		}
@@ -263,7 +268,7 @@
 			t.Fatalf("asked first at %v", asked)
 		}
 		for i, at := range asked[1:] {
-			if gap := at - asked[i]; gap > fetchTimeout+retryLeast {
+			if gap := at - asked[i]; gap >= grace {
 				t.Errorf("a silent agent was asked again after %v", gap)
 			}
 		}
