--- a/gateway.go
+++ b/gateway.go
@@ -38,6 +38,7 @@
 	shareDecay = 0.9        // how fast the customer's share at this door is relearnt, a reading
 	knownFor   = 4 * second // a door keeps to as many backends as it sends requests in this time
 	knownLeast = 4.0        // ... and to this many at least
+	mostTries  = 3          // attempts for one request at most, also where the settings allow more
 )
 
 const partHigh, partLow, partPool = 0, 1, 2 // parts of the slots
@@ -686,10 +687,15 @@
 	if t == nil || r.class.Effect == Safe {
 		return true
 	}
-	return r.class.Effect == Keyed && g.now-t.sent+g.set.AnswerGrace < r.class.KeyWindow &&
+	return r.class.Effect == Keyed && g.keyed(r, t) > 0 &&
 		(group != GroupZone || t.b.Zone == b.Zone) && (group != GroupCell || t.b.Cell == b.Cell)
 }
 
+// keyed is for how long yet the backends remember an attempt that may have run.
+func (g *Gateway) keyed(r *request, t *attempt) time.Duration {
+	return r.class.KeyWindow - g.set.AnswerGrace - (g.now - t.sent)
+}
+
 // ran is the first attempt that may have run, or nil.
 func (r *request) ran() *attempt {
 	for i := range r.tries {
@@ -703,6 +709,10 @@
 // --- attempts
 
 func (g *Gateway) send(r *request, b *backend, s *slot) {
+	within := time.Duration(0)
+	if t := r.ran(); t != nil && r.class.Effect == Keyed { // its connection may come up when the key is forgotten
+		within = g.keyed(r, t)
+	}
 	r.tries = append(r.tries, attempt{b: b, sent: g.now, open: true, slot: s})
 	g.owes(b)
 	b.out++
@@ -710,7 +720,7 @@
 	g.sends++
 	g.spare = min(mostSpare, g.spare+spareShare)
 	g.countOpen(r.cust, 1)
-	g.act(Send{Request: r.id, Backend: b.ID})
+	g.act(Send{Request: r.id, Backend: b.ID, Within: within})
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(second)) }
@@ -782,7 +792,7 @@
 // retry sends a request whose attempts have all failed once more, in the slot of the last, if the client can
 // still be answered in time. It needs no budget of its own: N bounds all that is out.
 func (g *Gateway) retry(r *request, s *slot) bool {
-	if len(r.tries) >= g.set.MaxAttempts || (r.due-g.now).Seconds() < r.class.lat/2 {
+	if len(r.tries) >= min(g.set.MaxAttempts, mostTries) || (r.due-g.now).Seconds() < r.class.lat/2 {
 		return false
 	}
 	b := g.choose(r)
