--- a/gateway.go
+++ b/gateway.go
@@ -563,7 +563,7 @@
 	if heard && (c.plan.Rate <= 0 || c.store <= 0) && g.rng.Float64() >= c.pass {
 		return false
 	}
-	if c.heard == 0 && len(c.draws) == 0 && g.rng.Float64() >= c.unheard(units) {
+	if share := c.unheard(units); share < 1 && c.heard == 0 && len(c.draws) == 0 && g.rng.Float64() >= share {
 		return false
 	}
 	return c.plan.Rate <= 0 || c.room(g.now) >= 100*(units+c.held())/c.plan.Rate+margin*c.capacity()
