--- a/gateway.go
+++ b/gateway.go
@@ -704,7 +704,7 @@
 
 func (g *Gateway) send(r *request, b *backend, s *slot) {
 	within := time.Duration(0)
-	if t := r.ran(); t != nil && r.class.Effect == Keyed { // its connection may come up when the key is forgotten
+	if t := r.ran(); t != nil && r.class.Effect == Keyed { // its connection may come up late
 		within = g.keyed(r, t)
 	}
 	r.tries = append(r.tries, attempt{b: b, sent: g.now, open: true, slot: s})
