Test late requests at the end, the end of idling, and moves in the middle of an ask

The first two fail without the mends (served as if there were time; timed out with a request there). Moves in mid-fetch, twice and to a silent address were a lead from reading and are ruled out: the old watch has ended before the new begins.

--- a/internal/frontdoor/crossing_test.go
+++ b/internal/frontdoor/crossing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"syscall"
@@ -207,3 +208,54 @@
 		t.Error(err)
 	}
 }
+
+// What comes when the platform may kill the process at any moment is refused at once, on its connection's last answer.
+func TestWhatComesTooLateIsRefusedAtOnce(t *testing.T) {
+	c := config(t)
+	loop, err := NewLoop(c, NewBackends(c))
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop.Update(ready(raw(t, func(_ int, conn net.Conn) { io.WriteString(conn, okReply) })))
+	clients := NewClients(c, loop)
+	past := time.Now().Add(-time.Second)
+	clients.killed.Store(&past)
+	server := httptest.NewServer(clients)
+	defer server.Close()
+	d := &door{addr: strings.TrimPrefix(server.URL, "http://")}
+	if res, _ := do(t, d.ask(t, "pay", nil)); res.StatusCode != http.StatusServiceUnavailable || !res.Close {
+		t.Errorf("%s, close %v", res.Status, res.Close)
+	}
+}
+
+// A request that has come in the same moment as the time for idling is over is read, not closed upon.
+func TestARequestAtTheEndOfItsIdling(t *testing.T) {
+	ln := listen(t)
+	far := dialAll(t, ln.Addr().String(), 1)[0]
+	inner, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	near := &clientConn{Conn: inner}
+	near.SetReadDeadline(time.Unix(1, 0))
+	var buf [16]byte
+	if n, err := near.Read(buf[:]); err == nil {
+		t.Errorf("with nothing there: %d bytes", n)
+	}
+	io.WriteString(far, "GET /look")
+	for end := time.Now().Add(patient); pending(inner) != waiting; {
+		if time.Now().After(end) {
+			t.Fatal("nothing came")
+		}
+	}
+	near.SetReadDeadline(time.Unix(1, 0))
+	if n, err := near.Read(buf[:]); err != nil || string(buf[:n]) != "GET /look" {
+		t.Errorf("%q, %v", buf[:n], err)
+	}
+	near.SetReadDeadline(time.Unix(1, 0))
+	io.WriteString(far, "more of it")
+	if n, err := near.Read(buf[:]); err == nil {
+		t.Errorf("of a request that takes too long: %d bytes", n)
+	}
+}
--- a/internal/frontdoor/discovery_test.go
+++ b/internal/frontdoor/discovery_test.go
@@ -274,3 +274,42 @@
 		}
 	})
 }
+
+// Moves that come while an ask is out, twice in a row, and to an address that says nothing, leave the last one followed:
+// what the ones before still say is not heard.
+func TestMovesInTheMiddleOfAnAsk(t *testing.T) {
+	asked := make(chan string, 100)
+	silent := func(name string) string {
+		return serve(t, func(_ http.ResponseWriter, r *http.Request) {
+			asked <- name
+			<-r.Context().Done()
+		})
+	}
+	last := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, "{\n  \"seq\": 5,\n  \"whole\": true,\n  \"hosts\": [\n    {\n      \"host\": \"s-1\",\n"+
+			"      \"dial\": \"127.0.0.1:1\",\n      \"health\": \"Terminating\"\n    }\n  ]\n}")
+		if r.URL.RawQuery != "" {
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	})
+	moves, lists := make(chan string), make(chan EndpointList, 100)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan bool)
+	go func() {
+		Follow(ctx, Config{Discovery: silent("first")}, moves, func(l EndpointList) { lists <- l })
+		close(ended)
+	}()
+	if got := <-asked; got != "first" {
+		t.Errorf("%s was asked", got)
+	}
+	moves <- silent("second")
+	for got := "first"; got == "first"; got = <-asked { // it may have been asked again before the move
+	}
+	moves <- last
+	if l := <-lists; l.Seq != 5 || !l.Whole || len(l.Hosts) != 1 || l.Hosts[0].Health != "Terminating" {
+		t.Errorf("the last told %+v", l)
+	}
+	cancel()
+	<-ended
+}
