--- a/internal/frontdoor/attempts_test.go
+++ b/internal/frontdoor/attempts_test.go
@@ -159,3 +159,40 @@
 		}
 	}
 }
+
+// A second answer that comes some milliseconds behind the first must not be read as the next request's: a connection on
+// which the first came 10 ms ago is not used yet.
+func TestASecondAnswerBehindTheFirst(t *testing.T) {
+	for range 100 {
+		var mu sync.Mutex
+		seen := map[net.Conn]bool{}
+		b, id := attempts(t, raw(t, func(_ int, conn net.Conn) {
+			mu.Lock()
+			defer mu.Unlock()
+			if seen[conn] {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond")
+			}
+			seen[conn] = true
+			io.WriteString(conn, okReply)
+		}))
+		if r := b.send(t.Context(), t.Context(), id, lookMessage); string(r.body) != "ok" {
+			t.Fatalf("the first was answered %q", r.body)
+		}
+		b.mu.Lock()
+		at := b.byID[id].place
+		b.mu.Unlock()
+		b.pool.mu.Lock()
+		answered := time.Now().Add(-10 * time.Millisecond)
+		at.idle[0].since = answered
+		b.pool.mu.Unlock()
+		r := b.send(t.Context(), t.Context(), id, lookMessage)
+		if time.Since(answered) > 40*time.Millisecond {
+			continue // this machine was too slow: the rest may rightly have been over
+		}
+		if string(r.body) != "ok" {
+			t.Errorf("the next request was answered %q", r.body)
+		}
+		return
+	}
+	t.Error("this machine is too slow to tell")
+}
