Weigh every try by its chance to be beyond the quota, and starve no class or plan

Cause: unheard in ceiling.go passed a try of a customer that nothing told of with the power -6 of units/burst times the cost taken 5 times. What a try's size tells is little: of a customer beyond its quota the small tries fill the place that refused large ones leave, so the price falls with what passes in all, not with its size.

Now weigh (ceiling.go) takes the chance that the try is beyond, from what answers told of the plan's customers when they first told, of this customer since, and of its sends here; a store of k requests is a queue of k places, the limit on attempts out a Poisson tail. Of each plan's tries that nothing tells of 0.35 pass. Clients that come again are counted, as each refusal is then no loss. metUse goes: the plan's mean reading takes its place.

--- a/api.go
+++ b/api.go
@@ -115,7 +115,8 @@
 	}
 	for _, p := range s.Plans {
 		if p.Rate <= 0 && p.Open <= 0 && p.CeilingRate <= 0 && p.Burst > 0 || p.Rate > 0 && p.Burst <= 0 ||
-			bad(0, p.Rate, p.Burst, p.Price, p.CeilingRate, p.CeilingBurst, p.CeilingSlack, float64(p.Open)) {
+			bad(0, p.Rate, p.Burst, p.Price, p.OverWorth, p.OverCost, p.CeilingRate, p.CeilingBurst, p.CeilingSlack,
+				float64(p.Open)) {
 			return fmt.Errorf("plan %q has a quota that cannot be kept", p.Name)
 		}
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -41,14 +41,16 @@
 	list  []BackendInfo
 	doors []*Gateway
 	lives []int
+	at    int // the door that is acting
 	queue fleetQueue
 	next  RequestID
 	reqs  map[RequestID]Request
 	tries map[RequestID]int
 	use   func(CustomerID) (float64, bool) // the meter's word for an answer now
 
-	onSend func(r Request, b BackendID, first bool)
-	onEnd  func(r Request)
+	onSend   func(r Request, b BackendID, first bool)
+	onEnd    func(r Request)
+	onRefuse func(r Request, after time.Duration)
 }
 
 const meanWork = 100 * ms // of an attempt in these tests
@@ -56,7 +58,8 @@
 func newFleet(t *testing.T, set Settings, seed uint64, backends int) *fleetRun {
 	f := &fleetRun{t: t, set: set, rng: rand.New(rand.NewPCG(seed, 9)), now: 1000 * second, list: fleet(backends),
 		doors: make([]*Gateway, set.FrontDoors), lives: make([]int, set.FrontDoors), reqs: map[RequestID]Request{},
-		tries: map[RequestID]int{}, onSend: func(Request, BackendID, bool) {}, onEnd: func(Request) {}}
+		tries: map[RequestID]int{}, onSend: func(Request, BackendID, bool) {}, onEnd: func(Request) {},
+		onRefuse: func(Request, time.Duration) {}}
 	for door := range f.doors {
 		f.start(door)
 	}
@@ -81,6 +84,7 @@
 }
 
 func (f *fleetRun) give(door int, ev Event) {
+	f.at = door
 	for _, a := range f.doors[door].Handle(f.now, ev, nil) {
 		switch a := a.(type) {
 		case Send:
@@ -90,6 +94,8 @@
 			took := seconds(meanWork.Seconds() * f.rng.ExpFloat64())
 			out := Outcome{Request: a.Request, Backend: a.Backend, Attempt: n, Result: Answered, Took: took, Final: true}
 			f.after(took, door, out)
+		case Refuse:
+			f.onRefuse(f.reqs[a.Request], a.RetryAfter)
 		case SetTimer:
 			f.after(a.After, door, Timer{Token: a.Token})
 		}
@@ -100,7 +106,7 @@
 	heap.Push(&f.queue, fleetEvent{f.now + d, door, f.lives[door], ev})
 }
 
-// runUntil plays what is due, with requests of ask coming at the rate a second.
+// runUntil plays what is due, with requests of ask coming at the rate a second, or none where it gives no door.
 func (f *fleetRun) runUntil(end time.Duration, rate float64, ask func() (door int, r Request)) {
 	arrival := f.now + seconds(f.rng.ExpFloat64()/rate)
 	for {
@@ -126,8 +132,13 @@
 		f.now = arrival
 		arrival += seconds(f.rng.ExpFloat64() / rate)
 		door, r := ask()
-		f.next++
-		r.ID = f.next
+		if door < 0 {
+			continue
+		}
+		if r.ID == 0 {
+			f.next++
+			r.ID = f.next
+		}
 		f.reqs[r.ID] = r
 		f.give(door, r)
 	}
--- a/gateway.go
+++ b/gateway.go
@@ -33,7 +33,6 @@
 	margin     = 1.0 / 8  // share of the burst that the projection must leave: other doors are unseen
 	gain       = 1.0 / 16 // weight of one answer in the running means of latency
 	priorUse   = 40       // percent of its rate that a customer is taken to use before anything tells
-	metUse     = 150      // ... one met at one of many doors: measured, all from 100 to 200 do alike
 	mostDraws  = 64       // own sends kept for a customer between readings, so memory stays bounded
 	shareDecay = 0.9      // how fast the customer's share at this door is relearnt, a reading
 	mostTries  = 3        // attempts for one request at most, also where the settings allow more
@@ -48,8 +47,9 @@
 
 type class struct {
 	Class
-	lat, base float64    // running mean latency of answers, seconds; its slowly forgotten low mark
-	first     []*request // sent once, in order; some have ended
+	passed, tried, strict float64    // see weigh
+	lat, base             float64    // mean latency of answers, seconds; its slowly forgotten low mark
+	first                 []*request // sent once, in order; some have ended
 }
 
 // late is the age from which an attempt counts as timed out for N.
@@ -141,6 +141,7 @@
 	bySeq     map[uint64]*request
 	seq       uint64
 	customers map[CustomerID]*customer
+	weighing
 
 	worths []float64 // of the last medianOver arrivals
 	median float64
@@ -173,14 +174,14 @@
 		requests: map[RequestID]*request{}, bySeq: map[uint64]*request{},
 		customers: map[CustomerID]*customer{}, n: math.Inf(1), splitAt: now, sendRate: minEnded}
 	for _, c := range set.Classes {
-		cl := &class{Class: c, lat: c.Aim.Seconds() / 4, base: c.Aim.Seconds() / 4}
+		cl := &class{Class: c, lat: c.Aim.Seconds() / 4, base: c.Aim.Seconds() / 4, strict: firstStrict}
 		g.classes[c.Name], g.byClass = cl, append(g.byClass, cl)
 		g.meanLat += c.Aim.Seconds() / 4 / float64(len(set.Classes))
 	}
 	for i := range set.Plans {
 		g.plans[set.Plans[i].Name] = &set.Plans[i]
 	}
-	g.size[partPool], g.bestLat = math.Inf(1), g.meanLat
+	g.size[partPool], g.bestLat, g.uses = math.Inf(1), g.meanLat, map[*Plan]*planUse{}
 	return g, nil
 }
 
@@ -230,7 +231,7 @@
 		return
 	}
 	c := g.customer(ev, plan)
-	if !g.withinQuota(c, ev.Units) || !g.underCeiling(c, ev.Units) {
+	if !g.withinQuota(c, ev.Units) || !g.underCeiling(c, ev.Units) || !g.weigh(c, cl, ev.Units) {
 		g.act(Refuse{ev.ID, g.untilQuota(c, ev.Units)})
 		return
 	}
@@ -547,7 +548,8 @@
 	fade := math.Pow(shareDecay, since/max(c.period, 1e-3))
 	one := 100 * c.units / c.plan.Rate
 	// one of two doors meets everybody; one of many meets few, and mostly those who ask for the most
-	prior := metUse - (metUse-priorUse)*min(1, 2/c.doors)
+	met := 100 * c.uses.mean()
+	prior := met - (met-priorUse)*min(1, 2/c.doors)
 	mean := (one + fade*c.metered) / (one/prior + fade*c.heard)
 	since = max(since, readingAge*c.period) // a burst at once tells as much as one that took so long
 	own := since / k / (one/mean + since/k) // the sends' weight
@@ -563,9 +565,6 @@
 	if heard && (c.plan.Rate <= 0 || c.store <= 0) && g.rng.Float64() >= c.pass {
 		return false
 	}
-	if share := c.unheard(units); share < 1 && c.heard == 0 && len(c.draws) == 0 && g.rng.Float64() >= share {
-		return false
-	}
 	return c.plan.Rate <= 0 || c.room(g.now) >= 100*(units+c.held())/c.plan.Rate+margin*c.capacity()
 }
 
@@ -578,6 +577,9 @@
 		c.storeAt+p > g.now) {
 		return
 	}
+	if c.heard == 0 {
+		c.uses.told(use / 100)
+	}
 	c.read, c.lastUse = g.now, use
 	// a reading is taken to be readingAge old; of a gap before it only this door's own sends are known
 	from := max(c.storeAt, g.now-(1+readingAge)*p)
@@ -849,6 +851,7 @@
 		g.median = sorted[len(sorted)/2]
 	}
 	g.adjustN()
+	g.adjustStrict()
 	if g.now-g.splitAt >= splitEvery {
 		g.resplit()
 	}
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -109,6 +109,8 @@
 		"rate infinite":   func(s *Settings) { s.Plans[0].Rate = math.Inf(1) },
 		"no burst":        func(s *Settings) { s.Plans[0].Burst = 0 },
 		"ceiling below 0": func(s *Settings) { s.Plans[2].CeilingRate = -1 },
+		"cost NaN":        func(s *Settings) { s.Plans[0].OverCost = math.NaN() },
+		"worth below 0":   func(s *Settings) { s.Plans[0].OverWorth = -1 },
 	}
 	for name, spoil := range cases {
 		s := testSettings()
--- /dev/null
+++ b/market_test.go
@@ -0,0 +1,395 @@
+package cypresstrack
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+)
+
+// A market is a fleet with customers as the operators describe them: most use a part of their quota, some nearly all,
+// some ask for many times it all day, and some now and then. Each has its own doors, busy ones and idle ones that
+// change, and comes again elsewhere when it is refused. The market keeps the true state of every quota, which no door
+// sees, and tells what was sent on beyond quotas and what was served within them.
+
+// marketPlan is a plan and what its customers do.
+type marketPlan struct {
+	Plan
+	use    float64 // its part of what is asked inside quotas
+	spread float64 // of the doors that its customers come through, at least
+	most   int     // doors at most; 0: any number
+}
+
+// marketClass is a class and the units of its requests: fixed, or drawn where mean is 0 or more.
+type marketClass struct {
+	Class
+	part  float64 // of the requests
+	fixed float64
+	mean  float64
+}
+
+type marketSpec struct {
+	doors, most int // doors; units of the largest request
+	perDoor     float64
+	period      time.Duration // of the meter
+	late        time.Duration
+	plans       []marketPlan
+	classes     []marketClass
+	heavy       float64 // share of the customers that ask for 1.6 to 5 times their quota
+	retries     int
+	restarts    bool
+	bound       float64 // on the price beyond quotas, over what is offered
+}
+
+// store is a quota's true state.
+type store struct {
+	units float64
+	at    time.Duration
+}
+
+func (s *store) take(p *Plan, now time.Duration, units float64) bool {
+	if p.Rate <= 0 {
+		return true
+	}
+	s.units = min(p.Burst, s.units+p.Rate*(now-s.at).Seconds())
+	s.at = now
+	if s.units < units {
+		return false
+	}
+	s.units -= units
+	return true
+}
+
+type marketCustomer struct {
+	plan          int
+	first, spread int
+	use           float64 // times its quota
+	spiky         bool
+	spikeAt       time.Duration // the next or last spike
+	spikeLen      time.Duration
+	spikeX        float64
+	weights       []float64 // running sums over its doors
+	shiftAt       time.Duration
+	sent, asked   store // of what the fleet sends on, and of all first tries
+	open          int
+	periods       map[int64]float64 // units sent on in each of the meter's periods
+	mostOut       map[int64]float64 // the most attempts out in each
+}
+
+// tally sums up worth.
+type tally struct{ offered, served, price float64 }
+
+type marketAsk struct {
+	customer int
+	class    int
+	units    float64
+	within   bool // one gateway that saw all would have let it in
+	tries    int
+	beyond   bool
+	done     bool
+}
+
+type market struct {
+	*fleetRun
+	spec      marketSpec
+	customers []marketCustomer
+	rates     []float64 // running sums of the most that each customer asks
+	asks      map[RequestID]*marketAsk
+	byPlan    []tally
+	byClass   []tally
+}
+
+const marketSkew = 0.7
+
+func newMarket(t *testing.T, spec marketSpec, seed uint64) *market {
+	set := testSettings()
+	set.FrontDoors, set.MeterPeriod, set.LargestUnits = spec.doors, spec.period, float64(spec.most)
+	set.Classes, set.Plans = nil, nil
+	for _, c := range spec.classes {
+		set.Classes = append(set.Classes, c.Class)
+	}
+	for _, p := range spec.plans {
+		set.Plans = append(set.Plans, p.Plan)
+	}
+	m := &market{spec: spec, asks: map[RequestID]*marketAsk{}, byPlan: make([]tally, len(spec.plans)),
+		byClass: make([]tally, len(spec.classes))}
+	m.fleetRun = newFleet(t, set, seed, max(20, spec.doors/3))
+	m.populate(rand.New(rand.NewPCG(seed, 77)))
+	m.onSend, m.onEnd, m.onRefuse, m.use = m.sentOn, m.ended, m.refused, m.meter
+	return m
+}
+
+// populate draws customers until the load is what the doors get.
+func (m *market) populate(rng *rand.Rand) {
+	units, mean := 0.0, 0.0
+	for _, c := range m.spec.classes {
+		mean += c.part * c.fixed
+		if c.fixed == 0 {
+			mean += c.part * c.mean
+		}
+	}
+	target := m.spec.perDoor * float64(m.spec.doors) * mean
+	sum := 0.0
+	for p, plan := range m.spec.plans {
+		inside, asked := 0.0, 0.0
+		rate := plan.Rate
+		if rate <= 0 { // half of the limit out by what the customer asks at its quota
+			rate = float64(plan.Open) / 2 * mean / meanWork.Seconds()
+		}
+		for inside < target*plan.use && asked < 2*target*plan.use {
+			spread := min(m.spec.doors, max(2, int(float64(m.spec.doors)*(plan.spread+(1-plan.spread)*rng.Float64()))))
+			if plan.most > 0 {
+				spread = min(spread, plan.most)
+			}
+			c := marketCustomer{plan: p, first: rng.IntN(m.spec.doors), spread: spread, use: 0.15 + 0.35*rng.Float64(),
+				sent: store{plan.Burst, m.now}, asked: store{plan.Burst, m.now}, periods: map[int64]float64{}, mostOut: map[int64]float64{}}
+			switch x := rng.Float64(); {
+			case x < m.spec.heavy:
+				c.use = 1.6 + 3.4*rng.Float64()
+			case x < m.spec.heavy+0.15:
+				c.use = 0.85 + 0.1*rng.Float64()
+			case x < m.spec.heavy+0.3:
+				c.spiky, c.spikeX = true, 3+5*rng.Float64()
+				c.spikeLen = seconds(1 + 3*rng.Float64())
+				c.spikeAt = m.now + seconds(15*rng.Float64())
+			}
+			c.shift(m.now, rng)
+			inside += min(1, c.use) * rate
+			asked += c.use * rate
+			sum += max(c.use, c.spikeX) * rate / mean
+			m.customers = append(m.customers, c)
+			m.rates = append(m.rates, sum)
+		}
+		units += asked
+	}
+}
+
+// shift draws anew which of its doors are the customer's busy ones.
+func (c *marketCustomer) shift(now time.Duration, rng *rand.Rand) {
+	c.weights, c.shiftAt = make([]float64, c.spread), now+seconds(7+17*rng.Float64())
+	sum := 0.0
+	for i := range c.weights {
+		sum += math.Exp(marketSkew * rng.NormFloat64())
+		c.weights[i] = sum
+	}
+}
+
+func (m *market) door(c *marketCustomer) int {
+	if m.now >= c.shiftAt {
+		c.shift(m.now, m.rng)
+	}
+	at := sort.SearchFloat64s(c.weights, m.rng.Float64()*c.weights[len(c.weights)-1])
+	return (c.first + at) % m.spec.doors
+}
+
+// rate is what a customer asks now, as a share of the most that it asks.
+func (c *marketCustomer) rate(now time.Duration) float64 {
+	if !c.spiky {
+		return 1
+	}
+	for now > c.spikeAt+c.spikeLen {
+		c.spikeAt += 17 * second
+	}
+	if now >= c.spikeAt {
+		return 1
+	}
+	return c.use / c.spikeX
+}
+
+func (m *market) ask() (int, Request) {
+	i := sort.SearchFloat64s(m.rates, m.rng.Float64()*m.rates[len(m.rates)-1])
+	c := &m.customers[i]
+	if m.rng.Float64() >= c.rate(m.now) {
+		return -1, Request{}
+	}
+	class, x := 0, m.rng.Float64()
+	for x >= m.spec.classes[class].part && class < len(m.spec.classes)-1 {
+		x -= m.spec.classes[class].part
+		class++
+	}
+	mc := m.spec.classes[class]
+	units := mc.fixed
+	if units == 0 {
+		units = max(1, min(float64(m.spec.most), math.Round(mc.mean*m.rng.ExpFloat64())))
+	}
+	plan := &m.spec.plans[c.plan].Plan
+	a := &marketAsk{customer: i, class: class, units: units, within: c.asked.take(plan, m.now, units)}
+	worth := m.worth(a)
+	for _, t := range m.tallies(a) {
+		if a.within {
+			t.offered += worth
+		} else {
+			t.offered += worth * plan.OverWorth
+		}
+	}
+	door, r := m.try(a)
+	return door, r
+}
+
+func (m *market) worth(a *marketAsk) float64 {
+	return m.spec.classes[a.class].Worth * m.spec.plans[m.customers[a.customer].plan].Price * a.units
+}
+
+func (m *market) tallies(a *marketAsk) []*tally {
+	p := m.customers[a.customer].plan
+	return []*tally{&m.byPlan[p], &m.byClass[a.class]}
+}
+
+// try is a client's first or further try, at one of its doors.
+func (m *market) try(a *marketAsk) (int, Request) {
+	c := &m.customers[a.customer]
+	a.tries++
+	m.next++
+	m.asks[m.next] = a
+	return m.door(c), Request{ID: m.next, Customer: CustomerID(a.customer), Class: m.spec.classes[a.class].Name,
+		Plan: m.spec.plans[c.plan].Name, Units: a.units, Patience: 3 * second, FirstDoor: c.first, Spread: c.spread}
+}
+
+func (m *market) sentOn(r Request, _ BackendID, first bool) {
+	a := m.asks[r.ID]
+	c := &m.customers[a.customer]
+	plan := &m.spec.plans[c.plan].Plan
+	if first {
+		a.beyond = plan.Open > 0 && c.open >= plan.Open || !c.sent.take(plan, m.now, r.Units)
+		c.periods[int64(m.now/m.spec.period)] += r.Units
+		for _, t := range m.tallies(a) {
+			if a.beyond {
+				t.price += plan.OverCost * m.worth(a)
+			}
+		}
+	}
+	c.open++
+	period := int64(m.now / m.spec.period)
+	c.mostOut[period] = max(c.mostOut[period], float64(c.open))
+}
+
+func (m *market) ended(r Request) {
+	a := m.asks[r.ID]
+	m.customers[a.customer].open--
+	if a.done {
+		return
+	}
+	a.done = true
+	for _, t := range m.tallies(a) {
+		if a.beyond {
+			t.served += m.spec.plans[m.customers[a.customer].plan].OverWorth * m.worth(a)
+		} else {
+			t.served += m.worth(a)
+		}
+	}
+}
+
+// refused brings the client back a moment later, at the same door or at another one of its own.
+func (m *market) refused(r Request, after time.Duration) {
+	a := m.asks[r.ID]
+	if a.tries > m.spec.retries {
+		return
+	}
+	wait := seconds(0.05 + 0.3*m.rng.Float64())
+	if m.rng.Float64() < 0.6 {
+		wait = max(wait, after)
+	}
+	door, again := m.try(a)
+	if m.rng.Float64() < 0.55 {
+		door = m.at
+	}
+	m.reqs[again.ID] = again
+	m.after(wait, door, again)
+}
+
+func (m *market) meter(id CustomerID) (float64, bool) {
+	c := &m.customers[id]
+	plan := &m.spec.plans[c.plan].Plan
+	if plan.Rate <= 0 {
+		return 100 * c.mostOut[int64((m.now-m.spec.late)/m.spec.period)-1] / float64(plan.Open), true
+	}
+	return 100 * c.periods[int64((m.now-m.spec.late)/m.spec.period)-1] / (plan.Rate * m.spec.period.Seconds()), true
+}
+
+func (m *market) run(length float64) {
+	end := m.now + seconds(length)
+	for m.now < end {
+		m.runUntil(m.now+second, m.rates[len(m.rates)-1], m.ask)
+		for range m.spec.doors / 20 * b2i(m.spec.restarts) {
+			m.start(m.rng.IntN(m.spec.doors))
+		}
+	}
+}
+
+// total is the price beyond quotas and what was served within, over what was offered.
+func (m *market) total() (price, served float64) {
+	var sum tally
+	for _, t := range m.byPlan {
+		sum.offered += t.offered
+		sum.price += t.price
+		sum.served += t.served
+	}
+	return sum.price / sum.offered, sum.served / sum.offered
+}
+
+// marketSpecs are markets of different fleets and settings, as far apart as the pages allow.
+func marketSpecs() map[string]marketSpec {
+	class := func(name string, worth, part, fixed, mean float64) marketClass {
+		return marketClass{Class: Class{Name: name, Effect: Safe, Aim: 2 * second, Deadline: 6 * second, Worth: worth},
+			part: part, fixed: fixed, mean: mean}
+	}
+	plan := func(name string, rate, burst, price, overWorth, overCost, use float64) marketPlan {
+		return marketPlan{Plan: Plan{Name: name, Rate: rate, Burst: burst, Price: price, OverWorth: overWorth,
+			OverCost: overCost}, use: use, spread: 0.5}
+	}
+	sized := []marketClass{class("read", 3, 0.5, 0, 2.5), class("write", 5, 0.25, 0, 2.5), class("start", 3, 0.25, 0, 2.5)}
+	four := []marketPlan{plan("basic", 1.6, 16, 0.55, 0, 1, 0.25), plan("standard", 3.5, 17, 0.72, 0, 0.6, 0.25),
+		plan("business", 11, 23, 1.2, 0, 1, 0.25), plan("estate", 28, 50, 1.8, 0, 0.8, 0.25)}
+	limited := append([]marketPlan{}, four...)
+	limited[1].Open, limited[1].Rate, limited[1].Burst = 3, 0, 0
+	limited[3].Open, limited[3].CeilingRate, limited[3].CeilingBurst, limited[3].most = 4, 60, 100, 6
+	return map[string]marketSpec{
+		"four plans, sized": {doors: 300, most: 8, perDoor: 8, period: 500 * ms, late: 800 * ms, bound: 0.17, plans: four,
+			classes: sized, heavy: 0.1, retries: 1},
+		"four plans, two retries, restarts": {doors: 300, most: 8, perDoor: 8, period: second, late: 800 * ms, bound: 0.22, plans: four,
+			classes: sized, heavy: 0.08, retries: 2, restarts: true},
+		"large bursts, many heavy ones": {doors: 200, most: 4, perDoor: 8, period: second, late: 600 * ms, bound: 0.15,
+			plans:   []marketPlan{plan("long", 4, 40, 1, 0, 1.2, 0.5), plan("wide", 12, 90, 1, 0.1, 0.8, 0.5)},
+			classes: []marketClass{class("small", 2, 0.6, 0, 1.5), class("more", 1, 0.4, 0, 2)}, heavy: 0.15, retries: 1},
+		"limits on attempts": {doors: 200, most: 8, perDoor: 8, period: second, late: 800 * ms, bound: 0.12, plans: limited,
+			classes: sized, heavy: 0.1, retries: 1},
+		"units by class, small bursts, dear": {doors: 150, most: 8, perDoor: 8, period: second, late: 600 * ms, bound: 0.23,
+			plans: []marketPlan{plan("casual", 2, 16, 0.6, 0, 2, 0.4), plan("agent", 6, 16, 0.9, 0.5, 0.3, 0.3),
+				plan("liner", 16, 17, 1.3, 0, 1.5, 0.3)},
+			classes: []marketClass{class("peek", 1, 0.5, 1, 0), class("weigh", 3, 0.3, 3, 0), class("stow", 2, 0.2, 8, 0)},
+			heavy:   0.09, retries: 1},
+		"all requests alike, no heavy ones": {doors: 350, most: 6, perDoor: 8, period: 2 * second, late: 900 * ms, bound: 0.19,
+			plans: []marketPlan{plan("only", 2, 12, 1, 0, 2, 1)}, classes: []marketClass{class("all", 1, 1, 6, 0)}},
+		"free beyond": {doors: 100, most: 4, perDoor: 8, period: second, late: 600 * ms, bound: 0.13,
+			plans:   []marketPlan{plan("free", 2, 8, 1, 0, 0, 0.5), plan("paid", 5, 10, 1, 0.3, 1.2, 0.5)},
+			classes: sized, heavy: 0.1, retries: 1},
+	}
+}
+
+// All doors together keep the price of what is sent on beyond quotas within a bound, and serve every class and every
+// plan a part of what it asks within them, whatever the settings and the customers are like.
+func TestMarketsAreServedAtABoundedPrice(t *testing.T) {
+	const leastOfClass, leastOfPlan = 0.5, 1.0 / 3
+	for name, spec := range marketSpecs() {
+		for seed := range uint64(2) {
+			m := newMarket(t, spec, seed)
+			m.run(25)
+			price, served := m.total()
+			t.Logf("%s, seed %d: price %.3f, served %.3f", name, seed, price, served)
+			if price > spec.bound {
+				t.Errorf("%s, seed %d: the price beyond quotas is %.3f, over %v", name, seed, price, spec.bound)
+			}
+			for i, c := range m.byClass {
+				if share := c.served / c.offered; share < leastOfClass {
+					t.Errorf("%s, seed %d: of class %s %.3f was served", name, seed, spec.classes[i].Name, share)
+				}
+			}
+			for i, p := range m.byPlan {
+				if share := p.served / p.offered; share < leastOfPlan {
+					t.Errorf("%s, seed %d: of plan %s %.3f was served", name, seed, spec.plans[i].Name, share)
+				}
+			}
+		}
+	}
+}
