Know a change 6 s after discovery had it, whatever asks were refused, failed or dripped

A list that came byte by byte kept its watch open for good, as each byte put the alarm off. fetch had to end within a quarter of a second in all, also with 1,024 entries on a tenth of a core. Asked-for lists were waited for up to four times must_ask_in_us (failedLasts), in fleets that the service could have answered at once, too.

Now an agent's watch may be silent for 2.5 s (it says something every 2 s; to ask it again costs nothing), a list that has begun is whole within 1 s or given up, and a whole list ends by silence and length only. Pauses of a fleet that one service answers in what a silent watch leaves of the 6 s stay within what remains; a larger fleet keeps its pace, as all asking at once are answered later still. Lists may have 4 MiB.

TestAChangeIsKnownInTime scripts what the asks meet, with the change in the moment of a watch's last word, at a start and at a move in mid-ask, on a fake clock; it and the stricter TestPausesStayInBounds fail on the text before. TestListsOfAThousandBackendsPass takes indented lists of 1,024.

--- a/internal/frontdoor/discovery.go
+++ b/internal/frontdoor/discovery.go
@@ -1,6 +1,7 @@
 package frontdoor
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -61,10 +62,17 @@
 }
 
 const (
-	// A watch says something every 2 s, if only an empty line. One that is silent for longer is dead.
-	watchSilence = 3 * time.Second
-	fetchTimeout = time.Second
-	mostList     = 1 << 20 // bytes of one list: thousands of backends
+	// What discovery has, and could be asked for, counts as told after this time, whatever failed, was refused or was given
+	// up meanwhile. A watch that has fallen silent, a second one that does so at once, and the pauses and the ask behind
+	// them take no longer.
+	toldAfter = 6 * time.Second
+	// A watch says something every 2 s, if only an empty line. One that is silent for longer is dead. To ask an agent once
+	// too often costs nothing, to ask a service in vain does.
+	agentSilence  = 2500 * time.Millisecond
+	sharedSilence = 3 * time.Second
+	askWait       = 2 * time.Second // a call to a service may wait in turn for as long
+	listTime      = time.Second     // a list that has begun is whole by then: it is sent at once
+	mostList      = 4 << 20         // bytes of one list: thousands of backends, also indented
 )
 
 // Where the settings say that lists are pushed, an agent on the front door's own machine holds what it has been sent
@@ -76,14 +84,14 @@
 // Where the list has to be asked for, discovery is one service of fixed capacity for the whole fleet, and one hiccup of
 // it ends the watches of all front doors at the same moment. Should all come back at once, it would answer few of them
 // in time, go on working for those that have given up, and never catch up again. So the doors together are kept to an
-// ask each askEvery: one waits for a random part of a pause that starts at its fleet's number of these, at least
-// retryLeast, and doubles with each failure in a row, up to retryDoublings times. However large the fleet, no pause
-// lasts for longer than half of the time after which what was not asked for counts as told.
+// ask each askEvery: one waits for a random part of its fleet's number of these. A fleet that the service can answer in
+// what a silent watch leaves of toldAfter waits for no longer than that leaves. A larger one can't be answered in time
+// however it asks; it is spread over the time that it takes, twice and four times that after more failures in a row, as
+// that answers the most doors soonest, and until then goes by its old list.
 const (
 	askEvery       = 100 * time.Millisecond // an ask was seen to keep discovery busy for 65 to 75 ms
 	retryLeast     = 500 * time.Millisecond
 	retryDoublings = 2
-	failedLasts    = 4 // a failed ask puts off what counts as told to this many times MustAsk
 
 	agentAsk   = 1.0 / 2 // of DrainGrace is how long an agent may take to answer
 	agentPause = 1.0 / 4 // ... and this at most is waited after an ask in vain
@@ -112,8 +120,10 @@
 	if !p.shared {
 		return rand.N(max(1, time.Duration(agentPause*float64(p.grace))))
 	}
-	first := max(retryLeast, time.Duration(p.doors)*askEvery)
-	return rand.N(p.atMost(failedLasts, first<<min(max(failures-1, 0), retryDoublings)))
+	if left, ok := p.inTime(); ok {
+		return rand.N(min(left, max(retryLeast, p.round())))
+	}
+	return rand.N(p.round() << min(max(failures-1, 0), retryDoublings))
 }
 
 // start is the pause before the first ask of a new process. Many may have started at once, and each holds a list
@@ -122,28 +132,41 @@
 	if !p.shared {
 		return 0
 	}
-	return rand.N(p.atMost(1, max(1, time.Duration(p.doors)*askEvery/2)))
+	if left, ok := p.inTime(); ok {
+		return rand.N(min(left, max(1, p.round()/2)))
+	}
+	return rand.N(p.round() / 2)
+}
+
+// round is the time in which the service answers all doors once.
+func (p pace) round() time.Duration { return time.Duration(p.doors) * askEvery }
+
+// inTime tells whether the service can answer all doors in what a silent watch leaves of the time after which a change
+// counts as told, and what that leaves for a pause besides the ask itself.
+func (p pace) inTime() (time.Duration, bool) {
+	told := toldAfter
+	if p.mustAsk > 0 {
+		told = min(told, p.mustAsk)
+	}
+	return max(retryLeast, told-sharedSilence-askWait), p.round() <= told-sharedSilence
 }
 
-// atMost bounds a pause by half of so many times mustAsk; the other half is for the ask itself.
-func (p pace) atMost(times, pause time.Duration) time.Duration {
-	if p.mustAsk <= 0 {
-		return pause
+// silence is how long a watch may say nothing.
+func (p pace) silence() time.Duration {
+	if p.shared {
+		return sharedSilence
 	}
-	return min(pause, max(1, times*min(p.mustAsk, time.Hour)/2))
+	return agentSilence
 }
 
 // firstWord is how long an ask may take until something is heard: an agent is quick, a service answers in turn.
 func (p pace) firstWord() time.Duration {
 	if p.shared {
-		return watchSilence
+		return sharedSilence
 	}
 	return time.Duration(agentAsk * float64(p.grace))
 }
 
-// whole is how long an ask for the whole list may take.
-func (p pace) whole() time.Duration { return min(fetchTimeout, p.firstWord()) }
-
 // takeWhole, as a version to start from, asks for the whole list first.
 const takeWhole = -1
 
@@ -151,6 +174,14 @@
 // takes the place of the one before. Another discovery may number its versions in another way, so after a move
 // the whole list is taken first.
 func Follow(ctx context.Context, config Config, moves <-chan string, update func(EndpointList)) {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableKeepAlives: true, DisableCompression: true}
+	followOver(ctx, transport, config, moves, update)
+}
+
+// followOver is Follow over a given transport.
+func followOver(ctx context.Context, rt http.RoundTripper, config Config, moves <-chan string,
+	update func(EndpointList)) {
 	p, addr, from := paceOf(config), config.Discovery, config.Known.Seq
 	wait := p.start()
 	for {
@@ -158,10 +189,8 @@
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-				DisableKeepAlives: true, DisableCompression: true}
 			if sleep(watching, wait) {
-				keepWatching(watching, transport, p, addr, from, update)
+				keepWatching(watching, rt, p, addr, from, update)
 			}
 		}()
 		select {
@@ -189,10 +218,10 @@
 	for ctx.Err() == nil {
 		var err error
 		if from == takeWhole {
-			err = fetch(ctx, rt, addr, p.whole(), &from, heardOf)
+			err = fetch(ctx, rt, addr, p.firstWord(), p.silence(), &from, heardOf)
 		}
 		if err == nil {
-			err = watch(ctx, rt, addr, p.firstWord(), watchSilence, &from, heardOf)
+			err = watch(ctx, rt, addr, p.firstWord(), p.silence(), &from, heardOf)
 		}
 		if ctx.Err() != nil {
 			return
@@ -243,18 +272,66 @@
 	return res, nil
 }
 
+// hearing is one of discovery's answers as it comes. It ends when nothing is heard for too long, or when a list that has
+// begun is not whole in time: one that drips would else keep all that follows from being heard.
+type hearing struct {
+	io.Reader
+	silence time.Duration
+	alarm   *time.Timer
+	begun   bool // some of a list has come, and not yet all
+	end     func()
+}
+
+// hear opens an answer whose first word must come within first, and each further one within silence. Its end must be
+// called.
+func hear(ctx context.Context, rt http.RoundTripper, url string, first, silence time.Duration) (*hearing, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	h := &hearing{silence: silence, alarm: time.AfterFunc(first, func() { cancel(errSilent) })}
+	res, err := ask(ctx, rt, url)
+	if err != nil {
+		h.alarm.Stop()
+		cancel(nil)
+		return nil, err
+	}
+	h.alarm.Reset(silence)
+	h.Reader = res.Body
+	h.end = func() {
+		h.alarm.Stop()
+		cancel(nil)
+		res.Body.Close()
+	}
+	return h, nil
+}
+
+func (h *hearing) Read(p []byte) (int, error) {
+	n, err := h.Reader.Read(p)
+	switch {
+	case n == 0 || h.begun:
+	case len(bytes.TrimSpace(p[:n])) == 0:
+		h.alarm.Reset(h.silence)
+	default:
+		h.begun = true
+		h.alarm.Reset(listTime)
+	}
+	return n, err
+}
+
+// whole marks the end of a list.
+func (h *hearing) whole() {
+	h.begun = false
+	h.alarm.Reset(h.silence)
+}
+
 // fetch takes the whole list, once.
-func fetch(ctx context.Context, rt http.RoundTripper, addr string, within time.Duration, from *int64,
+func fetch(ctx context.Context, rt http.RoundTripper, addr string, first, silence time.Duration, from *int64,
 	update func(EndpointList)) error {
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
-	res, err := ask(ctx, rt, fmt.Sprintf("http://%s/v1/endpoints", addr))
+	answer, err := hear(ctx, rt, fmt.Sprintf("http://%s/v1/endpoints", addr), first, silence)
 	if err != nil {
 		return err
 	}
-	defer res.Body.Close()
+	defer answer.end()
 	var list EndpointList
-	if err := json.NewDecoder(&bound{res.Body, mostList}).Decode(&list); err != nil {
+	if err := json.NewDecoder(&bound{answer, mostList}).Decode(&list); err != nil {
 		return err
 	}
 	if !list.Whole {
@@ -266,22 +343,18 @@
 	return nil
 }
 
-// watch follows discovery over one connection, for as long as it says something within first and then within each
-// silence. A line that cannot be read ends it, and the next watch asks for
-// the same changes again: passing over the line could lose the word that a backend drains.
+// watch follows discovery over one connection, for as long as it says something in time. A line that cannot be read
+// ends it, and the next watch asks for the same changes again: passing over the line could lose the word that a backend
+// drains.
 func watch(ctx context.Context, rt http.RoundTripper, addr string, first, silence time.Duration, from *int64,
 	update func(EndpointList)) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	alarm := time.AfterFunc(first, func() { cancel(errSilent) })
-	defer alarm.Stop()
-	res, err := ask(ctx, rt, fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", addr, *from))
+	url := fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", addr, *from)
+	answer, err := hear(ctx, rt, url, first, silence)
 	if err != nil {
 		return err
 	}
-	defer res.Body.Close()
-	alarm.Reset(silence)
-	body := &bound{heard{res.Body, func() { alarm.Reset(silence) }}, mostList}
+	defer answer.end()
+	body := &bound{answer, mostList}
 	lines := json.NewDecoder(body)
 	for {
 		var list EndpointList
@@ -289,6 +362,7 @@
 		if err := lines.Decode(&list); err != nil {
 			return err
 		}
+		answer.whole()
 		if !list.Whole && list.Seq < *from { // discovery has begun anew: what changed before is not known here
 			*from = takeWhole
 			return errGoneBack
@@ -298,17 +372,3 @@
 		*from = list.Seq
 	}
 }
-
-// heard is a reader that tells of whatever comes, the empty lines among it.
-type heard struct {
-	io.Reader
-	tell func()
-}
-
-func (h heard) Read(p []byte) (int, error) {
-	n, err := h.Reader.Read(p)
-	if n > 0 {
-		h.tell()
-	}
-	return n, err
-}
