--- a/fleet_test.go
+++ b/fleet_test.go
@@ -41,7 +41,8 @@
 	list  []BackendInfo
 	doors []*Gateway
 	lives []int
-	at    int // the door that is acting
+	at    int     // the door that is acting
+	fails float64 // share of the attempts that end in an error
 	queue fleetQueue
 	next  RequestID
 	reqs  map[RequestID]Request
@@ -93,6 +94,9 @@
 			f.onSend(r, a.Backend, n == 0)
 			took := seconds(meanWork.Seconds() * f.rng.ExpFloat64())
 			out := Outcome{Request: a.Request, Backend: a.Backend, Attempt: n, Result: Answered, Took: took, Final: true}
+			if f.fails > 0 && f.rng.Float64() < f.fails {
+				out.Result, out.Final = AnsweredErr, false
+			}
 			f.after(took, door, out)
 		case Refuse:
 			f.onRefuse(f.reqs[a.Request], a.RetryAfter)
