Look whether the client has left right before an attempt is written

A leaving is told by the server's watch of the connection, a goroutine of its own that cancels the request's context. A door that is short of its core comes to that watch late, and meanwhile began attempts, first or further, for clients that had closed: nothing between the loop's Send and writeAll in backends.go looked at the connection itself.

Now write asks the request's own connection, by a look that takes nothing from it, once the backend's connection is there and before the first byte; whoever has left ends the request with it. One more system call for each attempt.

--- a/internal/frontdoor/attempts_test.go
+++ b/internal/frontdoor/attempts_test.go
@@ -50,6 +50,115 @@
 	}
 }
 
+// deafDoor is a listener whose connections never tell the server's watch that the client has left, as if the process did
+// not come to it: a watch reads into a buffer of its own size.
+type deafDoor struct {
+	*net.TCPListener
+	conns chan net.Conn
+	end   chan bool
+}
+
+type deafConn struct {
+	*net.TCPConn
+	end chan bool
+}
+
+func (l *deafDoor) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.conns <- c
+	return &deafConn{c.(*net.TCPConn), l.end}, nil
+}
+
+func (c *deafConn) Read(p []byte) (int, error) {
+	if len(p) == watchBuffer {
+		<-c.end
+	}
+	return c.TCPConn.Read(p)
+}
+
+// An attempt, first or further, does not begin after its client has left, also while nobody has told the loop of that:
+// for a request that is held, that dials, or whose last attempt has just failed, and also where nothing may be cancelled.
+func TestNoAttemptBeginsBeforeTheLeavingIsHeard(t *testing.T) {
+	for how, leave := range leaving {
+		for _, when := range []string{"held", "dialling", "between attempts"} {
+			t.Run(how+" "+when, func(t *testing.T) {
+				began, fail := make(chan int, 3), make(chan bool)
+				addr := raw(t, func(n int, conn net.Conn) {
+					began <- n
+					<-fail
+					io.WriteString(conn, "HTTP/1.1 500 Sorry\r\nContent-Length: 0\r\n\r\n")
+				})
+				g := script(func(ev ct.Event) []ct.Action {
+					switch ev := ev.(type) {
+					case ct.Request:
+						if when != "held" {
+							return []ct.Action{ct.Send{Request: ev.ID, Backend: 1}}
+						}
+					case ct.Timer:
+						return []ct.Action{ct.Send{Request: 0xa1, Backend: 1}}
+					case ct.Outcome:
+						if ev.Result == ct.AnsweredErr {
+							return []ct.Action{ct.Send{Request: ev.Request, Backend: 1}}
+						}
+					}
+					return nil
+				})
+				ln := &deafDoor{listen(t), make(chan net.Conn, 1), make(chan bool)}
+				defer close(ln.end)
+				d := openDoor(t, g, ln, addr)
+				dialing, goOn := gatedDials(d.loop.backends)
+				conn := dialAll(t, d.addr, 1)[0]
+				near := <-ln.conns
+				io.WriteString(conn, d.text(t, "look", "00000000000000a1"))
+				next[ct.Request](t, g)
+				switch when {
+				case "dialling":
+					await(t, dialing, "the connection to come up")
+				case "between attempts":
+					await(t, dialing, "the first connection to come up")
+					goOn <- true
+					<-began
+				}
+				leave(conn)
+				for end := time.Now().Add(patient); pending(near) != ended; {
+					if time.Now().After(end) {
+						t.Fatal("the leaving was never to be seen")
+					}
+				}
+				switch when {
+				case "held":
+					d.loop.post(ct.Timer{})
+					await(t, dialing, "the connection to come up")
+				case "between attempts":
+					close(fail)
+					if next[ct.Outcome](t, g).Result != ct.AnsweredErr {
+						t.Error("the first attempt did not fail")
+					}
+				}
+				goOn <- true
+				var out ct.Outcome
+				for gone, over := false, false; !gone || !over; {
+					switch ev := next[ct.Event](t, g).(type) {
+					case ct.ClientGone:
+						gone = true
+					case ct.Outcome:
+						out, over = ev, true
+					}
+				}
+				if out.Result != ct.NotSent {
+					t.Errorf("%+v", out)
+				}
+				if len(began) > 0 {
+					t.Error("the backend was sent the request")
+				}
+			})
+		}
+	}
+}
+
 // An attempt that must have begun by some time is not sent later, however late its connection comes up: a keyed
 // request's repeat would find the backends' memory of the first attempt gone.
 func TestAnAttemptThatComesTooLateIsNotSent(t *testing.T) {
--- a/internal/frontdoor/backends.go
+++ b/internal/frontdoor/backends.go
@@ -41,6 +41,12 @@
 	host   string
 	header http.Header
 	body   []byte
+	left   func() bool // tells whether its client has left, and ends the request if so; nil: nobody can leave
+}
+
+// unwanted tells whether a request must not go on any more.
+func (m *message) unwanted(unsent context.Context) bool {
+	return unsent.Err() != nil || m.left != nil && m.left()
 }
 
 // reply is how an attempt ended and, if it was answered, with what.
@@ -202,8 +208,8 @@
 		if err != nil {
 			return nil, err
 		}
-		// A connection may have taken long to come up.
-		if b.ready(id) != at || unsent.Err() != nil {
+		// A connection may have taken long to come up, and whoever tells that the client has left may be late.
+		if b.ready(id) != at || m.unwanted(unsent) {
 			b.pool.drop(c)
 			return nil, errStale
 		}
--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -94,6 +94,9 @@
 			}
 			c.conns.note(conn, s)
 		},
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 	}
 	defer srv.Close()
 	accepts := &clientListener{Listener: listener}
@@ -158,6 +161,7 @@
 		req.Patience = timeout - forGateway - time.Since(arrived)
 		ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(timeout-lastMoment))
 		defer cancel()
+		msg.left = hasLeft(r, cancel)
 		var a answer
 		if a, err = c.loop.Serve(ctx, req, msg); err == nil {
 			c.lastAnswer(w)
@@ -186,6 +190,26 @@
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// hasLeft looks, without waiting for the server's own watch, whether the client of a request has left, and ends the
+// request by end if so. A door that is short of its core hears of a leaving late, the later the busier it is, and would
+// begin attempts meanwhile that nobody waits for.
+func hasLeft(r *http.Request, end func()) func() bool {
+	conn, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok {
+		return nil
+	}
+	return func() bool {
+		left := pending(conn) == ended
+		if left {
+			end()
+		}
+		return left
+	}
+}
+
 func (c *Clients) answer(w http.ResponseWriter, a answer) {
 	h := w.Header()
 	switch a.kind {
--- a/internal/frontdoor/conns.go
+++ b/internal/frontdoor/conns.go
@@ -59,6 +59,9 @@
 // ahead is kept only so that its leaving is seen behind it.
 const maxAhead = 16 << 10
 
+// watchBuffer is read at a time meanwhile.
+const watchBuffer = 512
+
 var errFlood = errors.New("too much was sent ahead of an answer")
 
 // clientConn is a client's connection. While a request is open on it, the server waits for the client's leaving in a
@@ -100,7 +103,7 @@
 // watch reads until the client leaves, or until the server ends the wait by a deadline.
 func (c *clientConn) watch() error {
 	for {
-		var buf [512]byte
+		var buf [watchBuffer]byte
 		n, err := c.Conn.Read(buf[:])
 		c.ahead = append(c.ahead, buf[:n]...)
 		if err == nil && len(c.ahead) > maxAhead {
