--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -49,7 +49,7 @@
 	moves := make(chan string)
 	go frontdoor.Follow(watching, config, moves, loop.Update)
 	go reload(watching, path, hup, moves)
-	slog.Info("serving", "name", config.Name, "listen", config.Listen, "backends", len(config.Known.Hosts))
+	slog.Info("serving", "name", config.Name, "listen", listener.Addr(), "backends", len(config.Known.Hosts))
 	err = frontdoor.NewClients(config, loop).Run(ctx, listener)
 	slog.Info("ended", "err", err)
 	return err
