Serve requests of the whole burst, and let strictness give way below a try's worth

needs (advice.go, as the advice is reckoned by it too) wants the margin only as far as a full store has it; strictness falls below 1 where a class's share is under its least.

--- a/advice.go
+++ b/advice.go
@@ -14,8 +14,7 @@
 			return g.set.MaxRetryAfter // the pass share must rise first, and it moves by the meter's readings
 		}
 		steady, _ := c.others(g.now)
-		missing := 100*units/c.plan.Rate + margin*c.capacity() - c.room(g.now)
-		wait = missing / max(1, 100-steady)
+		wait = (c.needs(units) - c.room(g.now)) / max(1, 100-steady)
 	}
 	if !g.underCeiling(c, units) {
 		wait = max(wait, (units-c.ceil)*c.parts/c.plan.CeilingRate)
@@ -28,3 +27,9 @@
 
 // untilSlot is the time in which what is out now will mostly have been answered.
 func (g *Gateway) untilSlot() time.Duration { return min(g.set.MaxRetryAfter, seconds(g.meanLat)) }
+
+// needs is what the store must hold for the units: more by the margin, but never more than a full one has.
+func (c *customer) needs(units float64) float64 {
+	need, full := 100*units/c.plan.Rate, c.capacity()
+	return max(need, min(need+margin*full, full))
+}
--- a/ceiling.go
+++ b/ceiling.go
@@ -43,7 +43,7 @@
 	leastPlan   = 0.35     // of a plan's tries of which nothing tells are let in: they want a third served
 	firstStrict = 4.0      // times its price is what a try's worth must be to be let in surely, at the start
 	mostStrict  = 100.0    // ... and at most
-	strictStep  = 1.5      // by how much that changes in a second at most
+	strictStep  = 1.5      // ... and what that changes by in a second at most
 	weighFades  = 0.1      // weight of a second in the price, and in the share of clients that come again
 	sameDoor    = 0.6      // of those that come again do so at the same door
 )
@@ -111,10 +111,8 @@
 }
 
 // weigh tells whether a try goes on though it may be beyond the quota: surely where its expected worth is strict times
-// its expected price, less often the less it is. What a door can't tell apart, requests of customers with room and of
-// those without, is so refused alike, whatever its size: to pass the small ones only would starve a class or a plan of
-// large ones, and save nothing, as others take what they leave of the quota. Of tries that nothing tells of a share
-// passes in any case.
+// its expected price, less often the less it is, and of tries that nothing tells of a share in any case. To pass small
+// ones only would starve classes and plans of large ones, and save nothing: others take what these leave of a quota.
 func (g *Gateway) weigh(c *customer, cl *class, units float64) bool {
 	p := c.plan
 	c.uses.units += planFades * (units - c.uses.units)
@@ -136,8 +134,7 @@
 	return true
 }
 
-// comesBack is the share of the clients refused here that come again, here or elsewhere. A like request of the same
-// customer within the longest advice and a moment is taken to be one.
+// comesBack is the share of the clients refused here that come again, here or elsewhere, by like requests soon after.
 func (g *Gateway) comesBack(c *customer, cl *class, units float64) float64 {
 	if c.turnedClass == cl && c.turnedUnits == units && g.now-c.turnedAt < g.set.MaxRetryAfter+second {
 		g.again++
@@ -157,8 +154,11 @@
 	for _, cl := range g.byClass {
 		if cl.tried > 0 {
 			share := cl.passed / cl.tried / leastClass
-			step := max(1/strictStep, min(strictStep, price, share*share))
-			cl.strict = max(1, min(mostStrict, cl.strict*step))
+			step, least := max(1/strictStep, min(strictStep, price, share*share)), 1.0
+			if share < 1 { // also at more than its worth
+				least = 1 / mostStrict
+			}
+			cl.strict = max(least, min(mostStrict, cl.strict*step))
 		}
 	}
 	for _, sum := range []*float64{&g.price, &g.within, &g.turned, &g.again} {
--- a/gateway.go
+++ b/gateway.go
@@ -565,7 +565,7 @@
 	if heard && (c.plan.Rate <= 0 || c.store <= 0) && g.rng.Float64() >= c.pass {
 		return false
 	}
-	return c.plan.Rate <= 0 || c.room(g.now) >= 100*(units+c.held())/c.plan.Rate+margin*c.capacity()
+	return c.plan.Rate <= 0 || c.room(g.now) >= c.needs(units+c.held())
 }
 
 // onReading counts one reading of the meter for each period, though many answers repeat it; they jitter, and
