Reckon with clients that come again more than once when a least share is let in

Now the share of refused tries that come again is taken for each try, so that pass/(1-(1-pass) x back) of the clients are let in, which is exact for any number of tries; half of them are taken to come to the same door, at most three in four to come again at all, and one that comes within a second, as what is advised is mostly the time of an answer: over the longest advice chance meetings counted as well.

--- a/ceiling.go
+++ b/ceiling.go
@@ -45,7 +45,8 @@
 	mostStrict  = 100.0    // ... and at most
 	strictStep  = 1.5      // ... and what that changes by in a second at most
 	weighFades  = 0.1      // weight of a second in the price, and in the share of clients that come again
-	sameDoor    = 0.6      // of those that come again do so at the same door
+	sameDoor    = 0.5      // of those that come again do so at the same door, by the pages' ranges
+	mostBack    = 0.75     // of those refused come again: three times each, where few are let in
 )
 
 // planUse is what answers first told of a plan's customers, times their quota, and the units of a request; fading.
@@ -120,9 +121,9 @@
 	back := g.comesBack(c, cl, units)
 	pass := min(1, (1-q+q*p.OverWorth)/max(1e-9, q*p.OverCost*cl.strict))
 	if c.heard == 0 && len(c.draws) == 0 {
-		pass = max(pass, ofTwo(leastPlan, back))
+		pass = max(pass, leastPlan*(1-back)/(1-leastPlan*back)) // of the clients, however often they come again
 	}
-	cl.passed += (pass+(1-pass)*back*pass)*worth*(1-q) - planFades*cl.passed
+	cl.passed += pass/(1-(1-pass)*back)*worth*(1-q) - planFades*cl.passed
 	cl.tried += worth*(1-q) - planFades*cl.tried
 	if pass < 1 && g.rng.Float64() >= pass {
 		g.turned++
@@ -134,18 +135,14 @@
 	return true
 }
 
-// comesBack is the share of the clients refused here that come again, here or elsewhere, by like requests soon after.
+// comesBack is the share of the refused tries whose clients come again, here or elsewhere, by like requests soon after.
+// What a refusal here advises is mostly the time of an answer.
 func (g *Gateway) comesBack(c *customer, cl *class, units float64) float64 {
-	if c.turnedClass == cl && c.turnedUnits == units && g.now-c.turnedAt < g.set.MaxRetryAfter+second {
+	if c.turnedClass == cl && c.turnedUnits == units && g.now-c.turnedAt < second {
 		g.again++
 	}
 	c.turnedClass = nil
-	return min(1, g.again/(g.turned+usualCount)/sameDoor)
-}
-
-// ofTwo is the share of tries to let in so that want of the clients are let in, of whom back come a second time.
-func ofTwo(want, back float64) float64 {
-	return 2 * want / (1 + back + math.Sqrt((1+back)*(1+back)-4*back*want))
+	return min(mostBack, g.again/(g.turned+usualCount)/sameDoor)
 }
 
 // adjustStrict lets strictness rise with the expected price of what is let in, as far as the share of the class allows.
--- a/market_test.go
+++ b/market_test.go
@@ -345,16 +345,16 @@
 	limited[1].Open, limited[1].Rate, limited[1].Burst = 3, 0, 0
 	limited[3].Open, limited[3].CeilingRate, limited[3].CeilingBurst, limited[3].most = 4, 60, 100, 6
 	return map[string]marketSpec{
-		"four plans, sized": {doors: 300, most: 8, perDoor: 8, period: 500 * ms, late: 800 * ms, bound: 0.17, plans: four,
+		"four plans, sized": {doors: 300, most: 8, perDoor: 8, period: 500 * ms, late: 800 * ms, bound: 0.14, plans: four,
 			classes: sized, heavy: 0.1, retries: 1},
-		"four plans, two retries, restarts": {doors: 300, most: 8, perDoor: 8, period: second, late: 800 * ms, bound: 0.22, plans: four,
+		"four plans, two retries, restarts": {doors: 300, most: 8, perDoor: 8, period: second, late: 800 * ms, bound: 0.2, plans: four,
 			classes: sized, heavy: 0.08, retries: 2, restarts: true},
-		"large bursts, many heavy ones": {doors: 200, most: 4, perDoor: 8, period: second, late: 600 * ms, bound: 0.15,
+		"large bursts, many heavy ones": {doors: 200, most: 4, perDoor: 8, period: second, late: 600 * ms, bound: 0.1,
 			plans:   []marketPlan{plan("long", 4, 40, 1, 0, 1.2, 0.5), plan("wide", 12, 90, 1, 0.1, 0.8, 0.5)},
 			classes: []marketClass{class("small", 2, 0.6, 0, 1.5), class("more", 1, 0.4, 0, 2)}, heavy: 0.15, retries: 1},
-		"limits on attempts": {doors: 200, most: 8, perDoor: 8, period: second, late: 800 * ms, bound: 0.12, plans: limited,
+		"limits on attempts": {doors: 200, most: 8, perDoor: 8, period: second, late: 800 * ms, bound: 0.11, plans: limited,
 			classes: sized, heavy: 0.1, retries: 1},
-		"units by class, small bursts, dear": {doors: 150, most: 8, perDoor: 8, period: second, late: 600 * ms, bound: 0.23,
+		"units by class, small bursts, dear": {doors: 150, most: 8, perDoor: 8, period: second, late: 600 * ms, bound: 0.2,
 			plans: []marketPlan{plan("casual", 2, 16, 0.6, 0, 2, 0.4), plan("agent", 6, 16, 0.9, 0.5, 0.3, 0.3),
 				plan("liner", 16, 17, 1.3, 0, 1.5, 0.3)},
 			classes: []marketClass{class("peek", 1, 0.5, 1, 0), class("weigh", 3, 0.3, 3, 0), class("stow", 2, 0.2, 8, 0)},
