Check the framing of every request, readiness probes too, before it is answered

Callers saw: a client that sent GET /ready with Content-Length and Transfer-Encoding could hide a command in the body. HTTP/1.0 probes with keep-alive did the same.

Cause: ServeHTTP answered /ready before parse, and only parse called checkFraming. net/http drops one of the two headers without an error (Content-Length in HTTP/1.1, Transfer-Encoding in HTTP/1.0) and keeps the connection.

Evidence: a log line at the start of ServeHTTP, in a trial copy, showed for each probe "target=/ready length=-1 te=[chunked]" and then, on the same connection, a call of its own for the hidden POST. So the handler can see the ambiguity. Ruled out by the same trace: a body that the library fails to discard (with Content-Length alone there is no second call), and bytes that clientConn buffers and returns twice (its buffer is filled only after the first call).

Change: ServeHTTP calls checkFraming before it looks at the target. HTTP/1.0 with a Content-Length is rejected there, as a dropped Transfer-Encoding can't be seen, and the connection of any other HTTP/1.0 probe is closed. A probe with a body is invalid; only GET and HEAD are probes, so POST /ready no longer gets 200. checkFraming and readiness have files of their own; TestAmbiguousFramingIsRejected moved to framing_test.go as it was.

--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -45,11 +45,6 @@
 	killGrace  = 3 * time.Second
 	drainPoll  = 10 * time.Millisecond // interval between checks for open connections
 
-	// If the list must be requested, a new process must not send to any backend before it has received one, so it is
-	// not ready for clients. It becomes ready after this time even without a list, as a restarted process must be ready
-	// within 6 s.
-	firstListTimeout = 5 * time.Second
-
 	// Of each kind of warning about a request or an attempt, the first logBurst are logged, and then at most one in
 	// each logInterval.
 	logBurst    = 10
@@ -153,22 +148,15 @@
 	}
 }
 
-// ready reports whether the gateway is ready for clients.
-func (s *Server) ready() bool {
-	if s.killTime.Load() != nil {
-		return false
-	}
-	return !s.settings.SubscribeToList || s.loop.hasList.Load() || time.Since(s.started) >= firstListTimeout
-}
-
 // ServeHTTP serves one request, which receives exactly one final response.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if r.URL.Path == "/ready" {
-		s.closeAfterResponse(w)
-		if !s.ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+	if err := checkFraming(r); err != nil {
+		s.writeInvalid(w, r, err)
+		return
+	}
+	if isReadinessProbe(r) {
+		s.serveReadiness(w, r)
 		return
 	}
 	parsed, err := s.parse(r)
@@ -216,14 +204,20 @@
 		})
 		w.WriteHeader(http.StatusGatewayTimeout)
 	default:
-		s.badRequestLog.Do(func() { slog.Warn("rejected an invalid request", "from", r.RemoteAddr, "err", err) })
-		status := http.StatusBadRequest
-		if errors.Is(err, errBodyTooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		w.Header().Set("Connection", "close") // the rest of the request is not read
-		http.Error(w, err.Error(), status)
+		s.writeInvalid(w, r, err)
+	}
+}
+
+// writeInvalid answers a request that is invalid with an error. What follows on its connection is not read: it may be a
+// part of the request.
+func (s *Server) writeInvalid(w http.ResponseWriter, r *http.Request, err error) {
+	s.badRequestLog.Do(func() { slog.Warn("rejected an invalid request", "from", r.RemoteAddr, "err", err) })
+	status := http.StatusBadRequest
+	if errors.Is(err, errBodyTooLarge) {
+		status = http.StatusRequestEntityTooLarge
 	}
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
 }
 
 // connContextKey is the key of the client's connection in a request's context.
--- a/internal/frontdoor/requests.go
+++ b/internal/frontdoor/requests.go
@@ -63,10 +63,10 @@
 // invalid returns an error that reports the value of one of singleHeaders as invalid.
 func (h requestHead) invalid(name string) error { return &badFieldError{name, h.single[name]} }
 
-// parse validates and converts all of a request except its body. Its result is safe to pass to the gateway. Errors are
-// of type *badFieldError.
+// parse validates and converts all of a request that has passed checkFraming, except its body. Its result is safe to
+// pass to the gateway. Errors are of type *badFieldError.
 func (s *Server) parse(r *http.Request) (parsedRequest, error) {
-	if err := checkFraming(r); err != nil {
+	if err := checkVersion(r); err != nil {
 		return parsedRequest{}, err
 	}
 	head, err := readHead(r)
@@ -98,13 +98,10 @@
 	return parsedRequest{req: req, forwarded: newForwardedRequest(r), timeout: timeout}, nil
 }
 
-// checkFraming rejects requests whose end is ambiguous, which prevents request smuggling. If a request has both a
-// Content-Length and a Transfer-Encoding, the HTTP server silently drops the former (in HTTP/1.0 the latter), and a
-// recipient that uses the dropped header finds a second request in the body. Legitimate clients use HTTP/1.1 and state
-// a Content-Length.
-func checkFraming(r *http.Request) error {
-	if len(r.TransferEncoding) > 0 || r.ContentLength < 0 || r.ProtoMajor != 1 || r.ProtoMinor != 1 {
-		return &badFieldError{"framing", r.Proto + " " + strings.Join(r.TransferEncoding, ", ")}
+// checkVersion rejects requests of other versions than HTTP/1.1, which is the protocol's.
+func checkVersion(r *http.Request) error {
+	if r.ProtoMajor != 1 || r.ProtoMinor != 1 {
+		return &badFieldError{"version", r.Proto}
 	}
 	return nil
 }
