Answer OPTIONS * in the gateway, not in the HTTP library, which skips the framing check

Callers saw: OPTIONS * was answered 200 though no backend had served it, and a command hidden in its body, by a Content-Length and a Transfer-Encoding, ran at a backend.

Cause: net/http answers OPTIONS * itself and keeps the connection, so ServeHTTP and checkFraming are not called.

Change: DisableGeneralOptionsHandler. The request is rejected with 400 as any other that belongs to no class.

--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -91,6 +91,8 @@
 	httpServer := &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headTimeout,
+		// Without this setting the HTTP server answers OPTIONS * itself, whatever its framing and headers.
+		DisableGeneralOptionsHandler: true,
 		// ReadTimeout is not set: it would also apply while a request waits for its response, and a read that times
 		// out then would look as if the client had disconnected. bodyTimeout applies to bodies.
 		WriteTimeout:   s.maxDeadline + writeMargin,
