--- a/internal/scalelab/agent.go
+++ b/internal/scalelab/agent.go
@@ -17,13 +17,12 @@
 	Address string
 	server  *http.Server
 
-	mu            sync.Mutex
-	version       int64                  // of the list with all changes
-	fullList      []byte                 // version 1, encoded, with its newline
-	changed       chan struct{}          // closed at the next change
-	lastChange    []byte                 // encoded, with its newline; nil before the first change
-	watches       map[chan struct{}]bool // closing a key aborts its watch
-	fullListsSent int                    // also those sent on a watch
+	mu         sync.Mutex
+	version    int64                  // of the list with all changes
+	fullList   []byte                 // version 1, encoded, with its newline
+	changed    chan struct{}          // closed at the next change
+	lastChange []byte                 // encoded, with its newline; nil before the first change
+	watches    map[chan struct{}]bool // closing a key aborts its watch
 }
 
 // heartbeatInterval is the interval of the empty lines that an idle watch sends.
@@ -111,7 +110,6 @@
 	case fromVersion == a.version-1 && a.lastChange != nil:
 		return a.lastChange, a.version, a.changed
 	}
-	a.fullListsSent++
 	return a.fullList, a.version, a.changed
 }
 
--- a/internal/scalelab/backends.go
+++ b/internal/scalelab/backends.go
@@ -14,7 +14,7 @@
 	random          *rand.Rand
 	meanAttemptTime time.Duration
 	down            map[BackendID]bool
-	attempts        []int // by backend ID, since the last reset
+	attempts        []int // by backend ID
 }
 
 // NewBackends returns count running backends, numbered from 1.
@@ -33,9 +33,6 @@
 	return time.Duration(b.random.ExpFloat64() * float64(b.meanAttemptTime)), true
 }
 
-// Reset sets the counts of attempts to zero.
-func (b *Backends) Reset() { clear(b.attempts) }
-
 // LoadSpread returns the mean number of attempts per backend, and the highest and lowest number of any backend as
 // ratios to the mean.
 func (b *Backends) LoadSpread() (mean, maxRatio, minRatio float64) {
--- a/internal/scalelab/fleet.go
+++ b/internal/scalelab/fleet.go
@@ -21,7 +21,6 @@
 
 	// Callbacks of the experiment.
 	OnSend   func(hollow *HollowGateway, attempt Attempt) // before the attempt starts
-	OnAnswer func(request Request)                        // before the gateway handles the answer
 	OnReject func(hollow *HollowGateway, request Request) // rejected or failed requests
 }
 
@@ -33,8 +32,7 @@
 	fleet := &Fleet{Clock: &Clock{now: simulationStart}, Random: random, settings: settings, plans: map[string]Plan{},
 		Backends: NewBackends(len(list), meanAttemptTime, random), Meter: NewMeter(settings.MeterPeriod, readingDelay),
 		Gateways: make([]*HollowGateway, settings.Gateways), processRuns: make([]int, settings.Gateways),
-		OnSend: func(*HollowGateway, Attempt) {}, OnAnswer: func(Request) {},
-		OnReject: func(*HollowGateway, Request) {}}
+		OnSend: func(*HollowGateway, Attempt) {}, OnReject: func(*HollowGateway, Request) {}}
 	for _, plan := range settings.Plans {
 		fleet.plans[plan.Name] = plan
 	}
@@ -83,7 +81,6 @@
 			hollow.HandleConnectFailure(now, attempt)
 			return
 		}
-		f.OnAnswer(request)
 		hollow.HandleAnswer(now, attempt, duration, f.Meter.Reading(now, request.Customer, f.plans[request.Plan].Rate))
 	}))
 }
--- a/internal/scalelab/single.go
+++ b/internal/scalelab/single.go
@@ -47,22 +47,20 @@
 
 // singleHost hosts one hollow gateway. Every attempt is answered after attemptTime.
 type singleHost struct {
-	now          time.Duration
-	gateway      *HollowGateway
-	inFlight     []Attempt       // oldest first
-	sentAt       []time.Duration // of the attempts in flight
-	rejected     int             // rejected or failed requests
-	sentAttempts int
-	lastSentAt   map[BackendID]time.Duration // time of the last attempt at a backend
-	lastID       RequestID
-	spread       int // number of gateways that each customer uses
+	now        time.Duration
+	gateway    *HollowGateway
+	inFlight   []Attempt                   // oldest first
+	sentAt     []time.Duration             // of the attempts in flight
+	rejected   int                         // rejected or failed requests
+	lastSentAt map[BackendID]time.Duration // time of the last attempt at a backend
+	lastID     RequestID
+	spread     int // number of gateways that each customer uses
 }
 
 // Send implements Host. It records an attempt, which advanceTo answers when it is due.
 func (s *singleHost) Send(_ *HollowGateway, attempt Attempt) {
 	s.inFlight = append(s.inFlight, attempt)
 	s.sentAt = append(s.sentAt, s.now)
-	s.sentAttempts++
 	s.lastSentAt[attempt.Backend] = s.now
 }
 
