Test requests hidden by 98 spellings of the framing headers on four kinds of target

14 spellings of Transfer-Encoding and 7 of Content-Length, on GET /ready in HTTP/1.1 and 1.0, on OPTIONS * and on a class: each request must get exactly one response and the end of its connection, and the hidden command must not be served.

--- a/internal/frontdoor/framing_test.go
+++ b/internal/frontdoor/framing_test.go
@@ -154,6 +154,57 @@
 	}
 }
 
+// transferEncodings are headers that some recipients take for a chunked Transfer-Encoding, and others don't.
+var transferEncodings = []string{
+	"Transfer-Encoding: chunked\r\n",
+	"transfer-encoding: CHUNKED\r\n",
+	"Transfer-Encoding:chunked\r\n",
+	"Transfer-Encoding: \tchunked \t\r\n",
+	"Transfer-Encoding: chunked\n",
+	"Transfer-Encoding:\r\n chunked\r\n",
+	"Transfer-Encoding : chunked\r\n",
+	"X-Folded: x\r\n Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+	"Transfer-Encoding: chunked, chunked\r\n",
+	"Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+	"Transfer-Encoding: xchunked\r\n",
+	"Transfer-Encoding: \"chunked\"\r\n",
+	"Transfer-Encoding: \vchunked\r\n",
+	"Transfer-Encoding:\r\n",
+}
+
+// contentLengths are headers by which the body of a request, of the given length, ends behind the hidden request, before
+// it, or at an unclear place.
+var contentLengths = []func(length int) string{
+	func(length int) string { return fmt.Sprintf("Content-Length: %d\r\n", length) },
+	func(int) string { return "Content-Length: 0\r\n" },
+	func(int) string { return "Content-Length: 5\r\n" },
+	func(int) string { return "Content-Length: 5\r\nContent-Length: 5\r\n" },
+	func(length int) string { return fmt.Sprintf("Content-Length: 5\r\nContent-Length: %d\r\n", length) },
+	func(int) string { return "Content-Length: +5\r\n" },
+	func(int) string { return "" },
+}
+
+// Guards against request smuggling by spellings of the framing headers that the HTTP library may read in its own way.
+func TestRequestHiddenByUnusualFramingIsNotServed(t *testing.T) {
+	test := newHidingTest(t)
+	for _, requestLine := range []string{"GET /ready HTTP/1.1", "GET /ready HTTP/1.0", "OPTIONS * HTTP/1.1",
+		"POST /pay HTTP/1.1"} {
+		for _, encoding := range transferEncodings {
+			for _, length := range contentLengths {
+				way := hidingBody{fmt.Sprintf("%q", encoding), func(hidden string) (string, string) {
+					body := "0\r\n\r\n" + hidden
+					return length(len(body)) + encoding, body
+				}}
+				received := test.send(t, requestLine, way)
+				_, rest, _ := strings.Cut(received, "\r\n\r\n")
+				if received == "" || strings.HasPrefix(rest, "HTTP/") {
+					t.Errorf("%s, %q, %q: got %q, want exactly one response", requestLine, length(0), encoding, received)
+				}
+			}
+		}
+	}
+}
+
 // A valid readiness probe must be answered and its connection kept open, and a request after it must be served.
 func TestRequestAfterReadinessProbeIsServed(t *testing.T) {
 	instance := startGateway(t, newScriptedHandler(rejectAll))
