Reject responses whose Content-Length contradicts their Transfer-Encoding

Callers would see: 200 with a body that is not the one that the backend meant, and no way to tell.

Cause: http.ReadResponse drops one of the two headers without an error (Content-Length in HTTP/1.1, Transfer-Encoding in HTTP/1.0), and readResponse used what was left.

Evidence: a backend that wrote such responses to a gateway over loopback sockets; clients got 200 with "hello" where 20 bytes were stated, with nothing where 20 were stated, and with "5\r\nhe" from an HTTP/1.0 response.

Change: the head of a response is recorded as received. If the response is chunked or HTTP/1.0, its header is parsed once more from there: a Content-Length must be the length of the chunked body, and HTTP/1.0 must have no Transfer-Encoding; otherwise the response counts as malformed. After a response with both headers the connection is not reused.

--- a/internal/frontdoor/fuzz_test.go
+++ b/internal/frontdoor/fuzz_test.go
@@ -79,6 +79,9 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\nok"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\nno length"))
+	f.Add([]byte("HTTP/1.1 103 Early\r\nContent-Length: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n" +
+		"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.0 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
 	f.Add([]byte("\x00\xff noise"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		backends := NewBackends(newTestConfig(t))
--- a/internal/frontdoor/pool.go
+++ b/internal/frontdoor/pool.go
@@ -176,10 +176,12 @@
 
 var errTooLarge = errors.New("the response is larger than allowed")
 
-// limitedReader reads at most remaining bytes, and then fails with errTooLarge.
+// limitedReader reads at most remaining bytes, and then fails with errTooLarge. It can record what it reads.
 type limitedReader struct {
 	source    io.Reader
 	remaining int
+	recording bool
+	recorded  []byte // read since startRecording; its memory is reused
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
@@ -188,5 +190,22 @@
 	}
 	n, err := l.source.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if l.recording {
+		l.recorded = append(l.recorded, p[:n]...)
+	}
 	return n, err
 }
+
+// startRecording discards what was recorded before.
+func (l *limitedReader) startRecording() {
+	l.recording = true
+	l.recorded = l.recorded[:0]
+}
+
+// stopRecording ends the recording and discards it if it is long.
+func (l *limitedReader) stopRecording() {
+	l.recording = false
+	if cap(l.recorded) > responseBufferSize {
+		l.recorded = nil // an unusually long head must not occupy memory while the connection is idle
+	}
+}
--- a/internal/frontdoor/responses.go
+++ b/internal/frontdoor/responses.go
@@ -26,6 +26,7 @@
 func (b *Backends) readResponse(ctx context.Context, conn *pooledConn, request *forwardedRequest,
 	outcome *attemptOutcome) (reusable bool, err error) {
 	conn.limited.remaining = maxResponseHead
+	conn.limited.startRecording()
 	if _, err := conn.reader.Peek(1); err != nil {
 		return false, fmt.Errorf("%w: %w", errNoResponse, err)
 	}
@@ -34,11 +35,11 @@
 	if err := ctx.Err(); err != nil {
 		return false, err
 	}
-	response, err := http.ReadResponse(conn.reader, &http.Request{Method: request.method})
-	// Skip interim responses, which have a status of 1xx.
-	for err == nil && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
-		response, err = http.ReadResponse(conn.reader, &http.Request{Method: request.method})
+	response, head, err := readFinalHead(conn, request.method)
+	if err != nil {
+		return false, err
 	}
+	framing, err := newResponseFraming(response, head)
 	if err != nil {
 		return false, err
 	}
@@ -46,6 +47,9 @@
 	if err != nil {
 		return false, err
 	}
+	if err := framing.checkLength(len(body)); err != nil {
+		return false, err
+	}
 	switch {
 	case response.StatusCode == http.StatusOK:
 		outcome.result, outcome.body, outcome.contentType = gateway.Answered, body, response.Header["Content-Type"]
@@ -60,11 +64,30 @@
 		outcome.hasUsage, outcome.usage = true, usage
 	}
 	outcome.load = b.parseLoad(response.Header.Get("Server-Load"))
-	return !response.Close, nil
+	return !response.Close && !framing.hasTwoLengths, nil
+}
+
+// readFinalHead reads the head of a response. It skips interim responses, which have a status of 1xx. It also returns the
+// head as received, which is valid until the next response is read.
+func readFinalHead(conn *pooledConn, method string) (response *http.Response, head []byte, err error) {
+	for {
+		start := conn.recordedAndParsed()
+		response, err = http.ReadResponse(conn.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, nil, err
+		}
+		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, conn.limited.recorded[start:conn.recordedAndParsed()], nil
+		}
+	}
 }
 
+// recordedAndParsed returns how many of the recorded bytes have been parsed.
+func (c *pooledConn) recordedAndParsed() int { return len(c.limited.recorded) - c.reader.Buffered() }
+
 // readResponseBody reads a body. It rejects a body that ends with the connection, as it might be truncated.
 func readResponseBody(conn *pooledConn, response *http.Response) ([]byte, error) {
+	conn.limited.stopRecording()
 	conn.limited.remaining = 2 * maxBody // chunked encoding needs additional bytes
 	switch {
 	case response.StatusCode == http.StatusSwitchingProtocols:
