--- a/review/rig/agent.go
+++ b/review/rig/agent.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -99,7 +99,7 @@
 	silent    bool          // accepts connections and answers nothing; open watches send nothing
 	refuse    time.Duration // if above 0: holds each call for so long, and answers 503
 	heartbeat time.Time     // when the last empty line was sent
-	resets    []chan struct{}
+	mute      chan struct{} // closed when the open watches fall silent
 }
 
 // NewDiscovery serves a table at a free address.
@@ -108,7 +108,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Discovery{Address: listener.Addr().String(), table: table, run: r, listener: listener}
+	d := &Discovery{Address: listener.Addr().String(), table: table, run: r, listener: listener,
+		mute: make(chan struct{})}
 	d.server = &http.Server{Handler: d}
 	go func() { _ = d.server.Serve(listener) }()
 	return d, nil
@@ -136,24 +137,26 @@
 // StopAccepting takes no new connection from now on.
 func (d *Discovery) StopAccepting() { d.listener.Close() }
 
-// LastHeartbeat returns when the last empty line was sent on a watch.
-func (d *Discovery) LastHeartbeat() time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.heartbeat
+// AwaitHeartbeat waits until an empty line has just been sent on a watch.
+func (d *Discovery) AwaitHeartbeat() error {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		d.mu.Lock()
+		sent := d.heartbeat
+		d.mu.Unlock()
+		if time.Since(sent) < 20*time.Millisecond {
+			return nil
+		}
+	}
+	return errors.New("no watch is open at discovery")
 }
 
-// ResetWatches ends the connections of all open watches and returns their number.
-func (d *Discovery) ResetWatches() int {
+// MuteWatches makes all open watches silent for good.
+func (d *Discovery) MuteWatches() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	count := len(d.resets)
-	for _, reset := range d.resets {
-		close(reset)
-	}
-	d.resets = nil
-	d.run.Logf("discovery %s: reset %d watches", d.Address, count)
-	return count
+	close(d.mute)
+	d.mute = make(chan struct{})
+	d.run.Logf("discovery %s: the open watches fall silent", d.Address)
 }
 
 func (d *Discovery) state() (silent bool, refuse time.Duration) {
@@ -193,15 +196,9 @@
 	flush := w.(http.Flusher).Flush
 	ticker := time.NewTicker(2 * time.Second)
 	defer ticker.Stop()
-	reset := make(chan struct{})
 	d.mu.Lock()
-	d.resets = append(d.resets, reset)
+	mute := d.mute
 	d.mu.Unlock()
-	defer func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.resets = slices.DeleteFunc(d.resets, func(other chan struct{}) bool { return other == reset })
-	}()
 	for first := true; ; first = false {
 		list, next := d.table.since(from)
 		if silent, _ := d.state(); silent {
@@ -218,8 +215,9 @@
 		case <-next:
 		case <-r.Context().Done():
 			return
-		case <-reset:
-			panic(http.ErrAbortHandler) // closes the connection
+		case <-mute:
+			<-r.Context().Done()
+			return
 		case <-ticker.C:
 			if silent, _ := d.state(); !silent {
 				fmt.Fprintln(w)
