--- a/review/6/main.go
+++ b/review/6/main.go
@@ -15,7 +15,8 @@
 	memoryMB   = 64
 	sockets    = 512
 	interval   = time.Second / 40 // between two requests of the usual clients
-	badClients = 600              // each has one request open at a time
+	badClients = 400              // each has one request open at a time
+	patience   = time.Second      // of usual clients: half of the deadline of log-alarm
 	duration   = 12 * time.Second
 
 	grace = 500 * time.Millisecond // after a request's time, until which an answer only earns nothing
@@ -41,7 +42,12 @@
 		return false, err
 	}
 	next := func() *rig.Request { return rig.NewRequest("read-setpoint", 1) }
-	load := r.NewClient(gateway.Listen).StartLoad(interval, next)
+	usual := func() *rig.Request {
+		request := rig.NewRequest("log-alarm", 1)
+		request.Timeout = patience
+		return request
+	}
+	load := r.NewClient(gateway.Listen).StartLoad(interval, usual)
 	time.Sleep(2 * time.Second)
 	var ended atomic.Bool
 	var sent atomic.Int64
