Count responses with other data than a copy behind them as malformed

Cause: readResponse took the stated length as the truth. What followed was in the read buffer or in the kernel, but only pool.put looked at it, to decide whether the connection may be reused.

Evidence: a backend that writes such responses, in one write, in two, longer than the read buffer, with chunks that end too early; and a rejection with Not-Started whose length is wrong, after which the request went out again.

Change: after a response, surplus.go looks for more data.

--- a/internal/frontdoor/config.go
+++ b/internal/frontdoor/config.go
@@ -4,7 +4,8 @@
 //   - config.go reads the configuration;
 //   - loop.go owns the gateway, passes it events and executes its actions;
 //   - clients.go serves clients, requests.go validates their requests, conns.go limits and monitors their connections;
-//   - backends.go sends attempts, responses.go reads the responses, pool.go limits and reuses the connections;
+//   - backends.go sends attempts, responses.go reads the responses, surplus.go checks what follows them, pool.go limits and
+//     reuses the connections;
 //   - discovery.go keeps the list of backends up to date, lists.go parses it, pace.go determines timeouts and backoff.
 package frontdoor
 
--- a/internal/frontdoor/pool.go
+++ b/internal/frontdoor/pool.go
@@ -181,7 +181,7 @@
 	source    io.Reader
 	remaining int
 	recording bool
-	recorded  []byte // read since startRecording; its memory is reused
+	recorded  []byte // since the start of the recording; its memory is reused
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
@@ -196,12 +196,6 @@
 	return n, err
 }
 
-// startRecording discards what was recorded before.
-func (l *limitedReader) startRecording() {
-	l.recording = true
-	l.recorded = l.recorded[:0]
-}
-
 // stopRecording ends the recording and discards it if it is long.
 func (l *limitedReader) stopRecording() {
 	l.recording = false
--- a/internal/frontdoor/responses.go
+++ b/internal/frontdoor/responses.go
@@ -26,7 +26,6 @@
 func (b *Backends) readResponse(ctx context.Context, conn *pooledConn, request *forwardedRequest,
 	outcome *attemptOutcome) (reusable bool, err error) {
 	conn.limited.remaining = maxResponseHead
-	conn.limited.startRecording()
 	if _, err := conn.reader.Peek(1); err != nil {
 		return false, fmt.Errorf("%w: %w", errNoResponse, err)
 	}
@@ -35,24 +34,17 @@
 	if err := ctx.Err(); err != nil {
 		return false, err
 	}
-	response, head, err := readFinalHead(conn, request.method)
+	response, err := conn.readMessage(request.method)
 	if err != nil {
 		return false, err
 	}
-	framing, err := newResponseFraming(response, head)
-	if err != nil {
-		return false, err
-	}
-	body, err := readResponseBody(conn, response)
+	hasCopy, err := conn.checkSurplus(request.method, response)
 	if err != nil {
 		return false, err
 	}
-	if err := framing.checkLength(len(body)); err != nil {
-		return false, err
-	}
 	switch {
 	case response.StatusCode == http.StatusOK:
-		outcome.result, outcome.body, outcome.contentType = gateway.Answered, body, response.Header["Content-Type"]
+		outcome.result, outcome.body, outcome.contentType = gateway.Answered, response.body, response.Header["Content-Type"]
 	case (response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusGatewayTimeout) &&
 		response.Header.Get("Not-Started") == "1":
 		outcome.result = gateway.Rejected
@@ -64,7 +56,36 @@
 		outcome.hasUsage, outcome.usage = true, usage
 	}
 	outcome.load = b.parseLoad(response.Header.Get("Server-Load"))
-	return !response.Close && !framing.hasTwoLengths, nil
+	return !response.Close && !response.framing.hasTwoLengths && !hasCopy, nil
+}
+
+// message is a final response with its complete body.
+type message struct {
+	*http.Response
+	framing responseFraming
+	body    []byte
+}
+
+// readMessage reads a final response and its body.
+func (c *pooledConn) readMessage(method string) (*message, error) {
+	c.limited.remaining = maxResponseHead
+	c.startRecording()
+	response, head, err := readFinalHead(c, method)
+	if err != nil {
+		return nil, err
+	}
+	framing, err := newResponseFraming(response, head)
+	if err != nil {
+		return nil, err
+	}
+	body, err := readResponseBody(c, response)
+	if err != nil {
+		return nil, err
+	}
+	if err := framing.checkLength(len(body)); err != nil {
+		return nil, err
+	}
+	return &message{Response: response, framing: framing, body: body}, nil
 }
 
 // readFinalHead reads the head of a response. It skips interim responses, which have a status of 1xx. It also returns the
@@ -82,6 +103,13 @@
 	}
 }
 
+// startRecording discards what was recorded before, and records what has not been parsed yet and what is read from now on.
+func (c *pooledConn) startRecording() {
+	unparsed, _ := c.reader.Peek(c.reader.Buffered()) // can't fail: it reads nothing
+	c.limited.recording = true
+	c.limited.recorded = append(c.limited.recorded[:0], unparsed...)
+}
+
 // recordedAndParsed returns how many of the recorded bytes have been parsed.
 func (c *pooledConn) recordedAndParsed() int { return len(c.limited.recorded) - c.reader.Buffered() }
 
