Forget the longest idle of more than 8,192 customers that were never sent anything

Cause: customerFor keeps 320 bytes of each customer for a minute, also of those whose only request was rejected. Clients that name a new customer in each request, thousands a second, fill the memory.

Evidence: heap profile in the flood (29 of 40 MB in customerFor), processor profile (gcAssistAlloc 25%, gcBgMarkWorker 20%), RssAnon of the process.

Change: beyond 8,192 customers that were never sent anything, of which only the arrivals are known, the longest idle are forgotten once a second. The others are kept for a minute, as the specification prescribes.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -60,6 +60,7 @@
 		return
 	}
 	g.requests[request.id], g.requestsBySeq[request.seq] = request, request
+	customer.sent = true
 	customer.ceilingLevel -= request.units
 	if plan.Rate > 0 {
 		if len(customer.recentSends) == maxRecentSends { // the older half is merged into meteredLevel
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,8 @@
 	second           = time.Second
 	splitInterval    = 5 * second  // time between splits of the slots; the specification prescribes it
 	customerIdleTime = time.Minute // after it an idle customer is deleted; the specification prescribes it
+
+	maxUnsentCustomers = 8192 // customers that were never sent anything and are remembered for customerIdleTime
 )
 
 // New returns a gateway that starts at the time now, with a random number generator of the given seed. It
@@ -46,6 +48,32 @@
 	return g, nil
 }
 
+// forgetCustomers deletes the customers that have been idle for customerIdleTime. Of those that were never sent anything,
+// it also deletes the longest idle beyond maxUnsentCustomers: only their arrivals are known, and a flood of requests of ever
+// new customers must not use up the memory.
+func (g *Gateway) forgetCustomers() {
+	var unsentSeen []time.Duration          // when the requests of customers that were never sent anything arrived
+	for id, customer := range g.customers { // only deletes, so the random order of the map has no effect
+		switch {
+		case customer.inFlight > 0:
+		case g.now-customer.lastSeen > customerIdleTime:
+			delete(g.customers, id)
+		case customer.isUnsent():
+			unsentSeen = append(unsentSeen, customer.lastSeen)
+		}
+	}
+	excess := len(unsentSeen) - maxUnsentCustomers
+	if excess <= 0 {
+		return
+	}
+	slices.Sort(unsentSeen)
+	for id, customer := range g.customers {
+		if customer.isUnsent() && customer.lastSeen <= unsentSeen[excess-1] {
+			delete(g.customers, id)
+		}
+	}
+}
+
 // tick does the work of each second.
 func (g *Gateway) tick() {
 	g.emit(SetTimer{After: second, Token: 0})
@@ -61,9 +89,5 @@
 	if g.now-g.lastSplitAt >= splitInterval {
 		g.resplit()
 	}
-	for id, customer := range g.customers { // only deletes, so the random order of the map has no effect
-		if customer.inFlight == 0 && g.now-customer.lastSeen > customerIdleTime {
-			delete(g.customers, id)
-		}
-	}
+	g.forgetCustomers()
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -94,6 +94,7 @@
 	gateways        float64       // number of gateways that it uses
 	lastSeen        time.Duration // when its last request arrived
 	inFlight        int           // attempts of this gateway in flight
+	sent            bool          // an attempt has been sent for it
 	meteredLevel    float64       // level of its token bucket at meteredUntil, percent-seconds of the rate
 	meteredUntil    time.Duration // end of the last period that the meter reported
 	passProbability float64       // f, the share of its requests that passes while its bucket is empty
@@ -110,6 +111,9 @@
 	lastUnits          float64       // units of its last request
 }
 
+// isUnsent reports whether no attempt has ever been sent for the customer and none of its requests is queued.
+func (c *customerState) isUnsent() bool { return !c.sent && len(c.queue) == 0 }
+
 // tierLoad is the load of one of the two tiers of requests.
 type tierLoad struct {
 	arrivals    float64 // arrivals in the present window
