Reject requests beyond the connection limit at once, and accept in batches

Cause: at the limit of connections, connStateChanged called runtime.Gosched for each accepted connection. That sends the accepting goroutine to the end of the global queue, which is served once in 61 rounds while there is local work, so connections waited in the backlog for seconds. And nothing answered a request that came while all connections were busy.

Evidence: the backlog held 191 to 275 connections throughout (rx_queue of the listening socket), none were dropped by the kernel.

Change: conntable.go, split from conns.go. Another 1/16 of the descriptors is for connections on which a request is only rejected, at once and unread, with Retry-After (Request.Overload). While more connections are open than are kept, each is closed after its response. At the limit accepting waits for room and pauses once for a batch. A connection with a request is never closed.

--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -27,8 +27,9 @@
 	// Timeouts of a request's head and body. On a new connection, headTimeout starts when it is accepted.
 	headTimeout       = 1500 * time.Millisecond
 	bodyTimeout       = time.Second
-	clientIdleTimeout = 15 * time.Second // how long a client's connection may be idle
-	maxRequestHead    = 16 << 10         // bytes
+	discardTimeout    = 100 * time.Millisecond // of the rest of a body that is not used
+	clientIdleTimeout = 15 * time.Second       // how long a client's connection may be idle
+	maxRequestHead    = 16 << 10               // bytes
 
 	// The HTTP server's write timeout starts when it has read a request's head, so it includes the time until there is
 	// a response. It is the longest deadline of all classes plus writeMargin, which is the time for writing the
@@ -60,7 +61,7 @@
 func NewServer(config Config, loop *Loop) *Server {
 	settings := config.Settings
 	s := &Server{loop: loop, settings: settings, started: time.Now(),
-		connections: newConnTable(config.Limits.maxClientConns()),
+		connections: newConnTable(config.Limits.maxClientConns(), config.Limits.maxOpenClientConns()),
 		classes:     map[string]gateway.Class{}, plans: map[string]bool{},
 		badRequestLog: rate.Sometimes{First: logBurst, Interval: logInterval},
 		timeoutLog:    rate.Sometimes{First: logBurst, Interval: logInterval}}
@@ -123,7 +124,11 @@
 		return
 	}
 	parsed, err := s.parse(r)
-	if err == nil {
+	switch {
+	case err != nil:
+	case isBeyondLimit(r):
+		err = s.rejectUnread(w, &parsed)
+	default:
 		parsed.forwarded.body, err = readBody(w, r, parsed.forwarded.method)
 	}
 	if killTime := s.killTime.Load(); killTime != nil {
@@ -183,6 +188,19 @@
 	http.Error(w, err.Error(), status)
 }
 
+// isBeyondLimit reports whether a request is one too many of those in progress here.
+func isBeyondLimit(r *http.Request) bool {
+	conn, ok := r.Context().Value(connContextKey{}).(*clientConn)
+	return ok && conn.beyondLimit
+}
+
+// rejectUnread prepares a request for its rejection. Its body is not read: the rest of it may be long in coming.
+func (s *Server) rejectUnread(w http.ResponseWriter, parsed *parsedRequest) error {
+	parsed.req.Overload = true
+	w.Header().Set("Connection", "close")
+	return http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+}
+
 // connContextKey is the key of the client's connection in a request's context.
 type connContextKey struct{}
 
--- a/internal/frontdoor/config.go
+++ b/internal/frontdoor/config.go
@@ -3,7 +3,8 @@
 //
 //   - config.go reads the configuration;
 //   - loop.go owns the gateway, passes it events and executes its actions;
-//   - clients.go serves clients, requests.go validates their requests, conns.go limits and monitors their connections;
+//   - clients.go serves clients, requests.go validates their requests, conns.go monitors their connections,
+//     conntable.go limits them;
 //   - backends.go sends attempts, responses.go reads the responses, surplus.go checks what follows them, pool.go limits and
 //     reuses the connections;
 //   - discovery.go keeps the list of backends up to date, lists.go parses it, pace.go determines timeouts and backoff.
@@ -27,13 +28,18 @@
 	Sockets  int     `json:"sockets"`   // file descriptors
 }
 
-// Clients and backends may each use 5/12 of the file descriptors. The remaining sixth is for the listener, discovery
-// and files.
+// Clients and backends may each use 5/12 of the file descriptors, and clients another 1/16 while most of their connections
+// have requests. The remaining 5/48 are for the listener, discovery and files.
 
-// maxClientConns returns how many connections of clients may be open. Concurrent requests need at most a third of the
-// file descriptors; the rest of the 5/12 is for the idle connections of clients that send requests only occasionally.
+// maxClientConns returns how many connections of clients are kept, and how many of their requests may be in progress.
+// Concurrent requests need at most a third of the file descriptors; the rest of the 5/12 is for the idle connections of
+// clients that send requests only occasionally.
 func (l Limits) maxClientConns() int { return max(1, l.Sockets*5/12) }
 
+// maxOpenClientConns returns how many connections of clients may be open, including those on which requests are only
+// rejected.
+func (l Limits) maxOpenClientConns() int { return l.maxClientConns() + l.Sockets/16 }
+
 // maxBackendConns returns how many connections to backends may be open, including idle ones and those being
 // established.
 func (l Limits) maxBackendConns() int { return max(1, l.Sockets*5/12) }
--- a/internal/frontdoor/conns.go
+++ b/internal/frontdoor/conns.go
@@ -1,12 +1,8 @@
 package frontdoor
 
 import (
-	"container/list"
 	"errors"
 	"net"
-	"net/http"
-	"runtime"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -70,10 +66,14 @@
 type clientConn struct {
 	net.Conn
 	requestBegun atomic.Bool // data has been read since the connection became new or idle
-	acceptedAt   time.Time   // zero after the first response; guarded by connTable.mu
+
+	// Guarded by connTable.mu.
+	acceptedAt time.Time // zero after the first response
+	dataSeenAt time.Time // when the table first saw data of a request that has not begun to be served; zero: not yet
 
 	// Used by the HTTP server, which reads in one goroutine at a time.
 	requestInProgress bool
+	beyondLimit       bool   // the request in progress is one too many, and must be rejected
 	readAhead         []byte // received after the request in progress
 }
 
@@ -129,86 +129,6 @@
 	return syscallConn.SyscallConn()
 }
 
-// connTable limits the number of clients' connections. Above the limit, the connection that has been idle for longest
-// is closed, whether it is idle between requests or before its first. A connection with a request in progress is never
-// closed.
-type connTable struct {
-	maxOpen int
-
-	mu   sync.Mutex
-	open map[net.Conn]*list.Element // element in idle; nil while a request is in progress
-	idle *list.List                 // of net.Conn, the longest idle first
-}
-
-func newConnTable(maxOpen int) *connTable {
-	return &connTable{maxOpen: maxOpen, open: map[net.Conn]*list.Element{}, idle: list.New()}
-}
-
-// connStateChanged is the HTTP server's ConnState hook, which is called for a new connection before that is served.
-func (t *connTable) connStateChanged(conn net.Conn, state http.ConnState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if element := t.open[conn]; element != nil {
-		t.idle.Remove(element)
-	}
-	client, ok := conn.(*clientConn)
-	switch state {
-	case http.StateNew, http.StateIdle:
-		if ok && state == http.StateIdle {
-			client.requestInProgress, client.acceptedAt = false, time.Time{}
-			client.requestBegun.Store(len(client.readAhead) > 0) // the rest has been answered
-		}
-		t.open[conn] = t.idle.PushBack(conn)
-	case http.StateActive:
-		if ok {
-			client.requestInProgress = true
-		}
-		t.open[conn] = nil
-	default:
-		delete(t.open, conn)
-	}
-	if state == http.StateNew && len(t.open) > t.maxOpen {
-		t.mu.Unlock()
-		runtime.Gosched() // so that data on connections that have just been accepted is read first
-		t.mu.Lock()
-		t.closeExcess()
-	}
-}
-
-// closeExcess closes the longest idle connections beyond the limit. If possible it doesn't choose connections on which
-// data has arrived since the last response, read or not: closing these would lose the request that has begun.
-func (t *connTable) closeExcess() {
-	for excess := len(t.open) - t.maxOpen; excess > 0 && t.idle.Len() > 0; excess-- {
-		element := t.idle.Front()
-		for element.Next() != nil && hasRequestData(element.Value.(net.Conn)) {
-			element = element.Next()
-		}
-		conn := t.idle.Remove(element).(net.Conn)
-		delete(t.open, conn)
-		conn.Close()
-	}
-}
-
-// closeIdle closes the connections on which no data has arrived since their last response, and those that have received
-// no data at all for at least minSilence since they were accepted. It returns the number of connections that remain.
-func (t *connTable) closeIdle(minSilence time.Duration) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var next *list.Element
-	for element := t.idle.Front(); element != nil; element = next {
-		next = element.Next()
-		conn := element.Value.(net.Conn)
-		if client, ok := conn.(*clientConn); hasRequestData(conn) ||
-			ok && !client.acceptedAt.IsZero() && time.Since(client.acceptedAt) < minSilence {
-			continue
-		}
-		t.idle.Remove(element)
-		delete(t.open, conn)
-		conn.Close()
-	}
-	return len(t.open)
-}
-
 // hasRequestData reports whether a part of a request has arrived on a connection that the HTTP server considers idle.
 func hasRequestData(conn net.Conn) bool {
 	state := peekSocket(conn) // before loading requestBegun, since the server may read the data in between
--- a/internal/frontdoor/conns_test.go
+++ b/internal/frontdoor/conns_test.go
@@ -42,9 +42,15 @@
 
 // startLimitedGateway starts a gateway that allows clients five connections.
 func startLimitedGateway(t *testing.T, handler eventHandler) (*testGateway, *Server) {
+	t.Helper()
+	return startGatewayWithSockets(t, handler, 12)
+}
+
+// startGatewayWithSockets starts a gateway with a limit on its file descriptors.
+func startGatewayWithSockets(t *testing.T, handler eventHandler, sockets int) (*testGateway, *Server) {
 	t.Helper()
 	config := newTestConfig(t)
-	config.Limits.Sockets = 12
+	config.Limits.Sockets = sockets
 	loop := newLoop(clock{time.Now()}, handler, NewBackends(config))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -145,7 +151,7 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	table := newConnTable(3)
+	table := newConnTable(3, 3)
 	var clientConns, serverConns []net.Conn
 	for range 5 {
 		clientConns = append(clientConns, dialConns(t, listener.Addr().String(), 1)[0])
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -22,6 +22,10 @@
 		g.emit(Reject{Request: ev.ID})
 		return
 	}
+	if ev.Overload {
+		g.emit(Reject{ev.ID, g.retryAfterSlot()})
+		return
+	}
 	customer := g.customerFor(ev, plan)
 	if !g.withinQuota(customer, ev.Units) || !g.withinCeiling(customer, ev.Units) ||
 		!g.admitExcess(customer, class, ev.Units) {
--- a/internal/gateway/api.go
+++ b/internal/gateway/api.go
@@ -145,6 +145,7 @@
 	Timeout      time.Duration // how long the client waits for the answer to this request
 	FirstGateway int           // index of the first of the consecutive gateways that the customer uses
 	GatewayCount int           // number of gateways that the customer uses
+	Overload     bool          // too many requests are in progress at this gateway: it must be rejected
 }
 
 // BackendState is the state of a backend in the list of backends.
