Look once for data behind a response, not again when its connection is pooled

Cause: since responses are checked for what follows them, pool.put repeated the same check, one system call and one more place with the rule.

Change: checkSurplus says whether the connection may be reused.

--- a/internal/frontdoor/pool.go
+++ b/internal/frontdoor/pool.go
@@ -110,11 +110,11 @@
 	return nil, nil
 }
 
-// put returns a connection to the pool after a complete response. If more data has arrived, it closes the connection.
+// put returns a connection to the pool after a complete response that is not followed by other data.
 func (p *pool) put(c *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.endpoint.closed || c.reader.Buffered() > 0 || peekSocket(c.Conn) != noData {
+	if c.endpoint.closed {
 		p.closeLocked(c)
 		return
 	}
--- a/internal/frontdoor/responses.go
+++ b/internal/frontdoor/responses.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return false, err
 	}
-	hasCopy, err := conn.checkSurplus(request.method, response)
+	reusable, err = conn.checkSurplus(request.method, response)
 	if err != nil {
 		return false, err
 	}
@@ -56,7 +56,7 @@
 		outcome.hasUsage, outcome.usage = true, usage
 	}
 	outcome.load = b.parseLoad(response.Header.Get("Server-Load"))
-	return !response.Close && !response.framing.hasTwoLengths && !hasCopy, nil
+	return reusable && !response.Close && !response.framing.hasTwoLengths, nil
 }
 
 // message is a final response with its complete body.
--- a/internal/frontdoor/surplus.go
+++ b/internal/frontdoor/surplus.go
@@ -36,10 +36,12 @@
 // other data may be the rest of a body whose stated length is too small, and such a body must not reach a client. Data that
 // has not arrived yet is found when the connection is to be reused.
 //
-// It reports whether there was a copy. An error is a *surplusDataError.
-func (c *pooledConn) checkSurplus(method string, response *message) (hasCopy bool, err error) {
-	if !c.hasUnreadData() {
-		return false, nil
+// It reports whether the connection may be reused: if nothing has arrived and the backend has not closed it. An error is a
+// *surplusDataError.
+func (c *pooledConn) checkSurplus(method string, response *message) (reusable bool, err error) {
+	state := peekSocket(c.Conn)
+	if c.reader.Buffered() == 0 && state != dataAvailable {
+		return state == noData, nil
 	}
 	c.limited.remaining = maxResponseHead
 	if _, err := c.reader.Peek(1); err != nil { // fills the buffer, without blocking
@@ -50,7 +52,7 @@
 	if err := c.readCopy(method, response); err != nil {
 		return false, &surplusDataError{bodyLength: len(response.body), surplus: surplus, cause: err}
 	}
-	return true, nil
+	return false, nil
 }
 
 // readCopy reads a second copy of a response, of which the first bytes are in the buffer. It fails if they are something
