Record that a request has begun in one step with reading it

Cause: clientConn.Read took data from the socket and set requestBegun afterwards. In between, connTable finds neither unread data nor a request and closes the connection to make room, or at the shutdown.

Evidence: the log says "use of closed network connection" from the handler of such a request; a test that suspends the goroutine right after the system call.

Change: reading and recording share a critical section with the table's check. A connection that the table has chosen reads nothing any more. It is closed after the table's lock has been released.

TestConnectionIsNotClosedBetweenReadAndRecord failed before.

--- a/internal/frontdoor/conns.go
+++ b/internal/frontdoor/conns.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -67,6 +69,9 @@
 	net.Conn
 	requestBegun atomic.Bool // data has been read since the connection became new or idle
 
+	readMu    sync.Mutex // held while a request is read from the socket
+	dismissed bool       // nothing may be read any more, as the connection is about to be closed; guarded by readMu
+
 	// Guarded by connTable.mu.
 	acceptedAt time.Time // zero after the first response
 	dataSeenAt time.Time // when the table first saw data of a request that has not begun to be served; zero: not yet
@@ -75,6 +80,7 @@
 	requestInProgress bool
 	beyondLimit       bool   // the request in progress is one too many, and must be rejected
 	readAhead         []byte // received after the request in progress
+	raw               syscall.RawConn
 }
 
 func (c *clientConn) Read(p []byte) (int, error) {
@@ -86,21 +92,81 @@
 		c.readAhead = c.readAhead[n:]
 		return n, nil
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.readRequest(p)
 	if netErr, ok := err.(net.Error); ok && netErr.Timeout() && !c.requestBegun.Load() &&
 		peekSocket(c.Conn) == dataAvailable {
 		// A request has arrived at the moment of the idle timeout.
 		if err := c.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
 			return 0, err
 		}
-		n, err = c.Conn.Read(p)
+		return c.readRequest(p)
+	}
+	return n, err
+}
+
+// readRequest reads a part of a request like net.Conn's Read. It sets requestBegun together with taking the data from the
+// socket, so that connTable doesn't take the connection for an idle one in between.
+func (c *clientConn) readRequest(p []byte) (n int, err error) {
+	if c.raw == nil {
+		if c.raw, err = c.SyscallConn(); err != nil {
+			return c.readUnwatched(p)
+		}
+	}
+	if waitErr := c.raw.Read(func(fd uintptr) bool {
+		n, err = c.readNow(int(fd), p)
+		return err != syscall.EAGAIN
+	}); waitErr != nil {
+		err = waitErr
+	}
+	switch {
+	case err != nil: // in the form in which the HTTP server knows it
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readNow reads what has arrived, without blocking. If nothing has, it returns syscall.EAGAIN.
+func (c *clientConn) readNow(fd int, p []byte) (int, error) {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	if c.dismissed {
+		return 0, net.ErrClosed
+	}
+	for {
+		n, err := syscall.Read(fd, p)
+		if err == syscall.EINTR {
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		if n > 0 {
+			c.requestBegun.Store(true)
+		}
+		return n, nil
 	}
+}
+
+// readUnwatched is readRequest for a connection that is no socket.
+func (c *clientConn) readUnwatched(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.requestBegun.Store(true)
 	}
 	return n, err
 }
 
+// dismissIf ends the reading of a connection if a condition holds, and reports whether it did. While the condition is
+// checked, no data is read.
+func (c *clientConn) dismissIf(condition func() bool) bool {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.dismissed = condition()
+	return c.dismissed
+}
+
 // awaitDisconnect reads until the client disconnects, or until the HTTP server ends the read by a deadline.
 func (c *clientConn) awaitDisconnect() error {
 	for {
--- a/internal/frontdoor/conntable.go
+++ b/internal/frontdoor/conntable.go
@@ -154,7 +154,7 @@
 	for element := t.idle.Front(); element != nil && len(t.open) > enough; element = next {
 		next = element.Next()
 		conn := element.Value.(net.Conn)
-		if condition(conn) {
+		if dismiss(conn, condition) {
 			t.idle.Remove(element)
 			delete(t.open, conn)
 			dismissed = append(dismissed, conn)
@@ -163,6 +163,14 @@
 	return dismissed, len(t.open)
 }
 
+// dismiss reports whether a condition holds for a connection. If so, nothing is read from it any more.
+func dismiss(conn net.Conn, condition func(net.Conn) bool) bool {
+	if client, ok := conn.(*clientConn); ok {
+		return client.dismissIf(func() bool { return condition(conn) })
+	}
+	return condition(conn)
+}
+
 func closeAll(conns []net.Conn) {
 	for _, conn := range conns {
 		conn.Close()
--- a/internal/frontdoor/races_test.go
+++ b/internal/frontdoor/races_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -149,13 +150,19 @@
 	inspectedOnce sync.Once
 }
 
-// delayedReadConn is a connection of a delayedReadListener. It delays the reads with the HTTP server's large buffer,
-// but not the shorter reads that detect a disconnection.
+// delayedReadConn is a connection of a delayedReadListener. It delays the reads of requests, which go through its
+// SyscallConn, but not those that detect a disconnection.
 type delayedReadConn struct {
 	net.Conn
 	listener *delayedReadListener
 }
 
+// delayedRawConn is what a delayedReadConn is read and peeked at through.
+type delayedRawConn struct {
+	syscall.RawConn
+	listener *delayedReadListener
+}
+
 func (l *delayedReadListener) Accept() (net.Conn, error) {
 	conn, err := l.TCPListener.Accept()
 	return &delayedReadConn{conn, l}, err
@@ -163,15 +170,18 @@
 
 func (l *delayedReadListener) markInspected() { l.inspectedOnce.Do(func() { close(l.inspected) }) }
 
-func (c *delayedReadConn) Read(p []byte) (int, error) {
+func (c *delayedRawConn) Read(f func(fd uintptr) bool) error {
 	select {
 	case <-c.listener.delaying:
-		if len(p) > 1<<10 {
-			<-c.listener.inspected
-		}
+		<-c.listener.inspected
 	default:
 	}
-	return c.Conn.Read(p)
+	return c.RawConn.Read(f)
+}
+
+func (c *delayedRawConn) Control(f func(fd uintptr)) error {
+	defer c.listener.markInspected()
+	return c.RawConn.Control(f)
 }
 
 func (c *delayedReadConn) Close() error {
@@ -180,8 +190,8 @@
 }
 
 func (c *delayedReadConn) SyscallConn() (syscall.RawConn, error) {
-	defer c.listener.markInspected()
-	return c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	return &delayedRawConn{raw, c.listener}, err
 }
 
 // A request that has arrived on an idle connection, but has not been read when the graceful shutdown closes the idle
@@ -268,3 +278,88 @@
 		t.Errorf("request that takes too long: got %d bytes, want a timeout", n)
 	}
 }
+
+// suspendedConn returns from a read of data only after release has been closed, as if the goroutine were suspended right
+// after the system call.
+type suspendedConn struct {
+	*net.TCPConn
+	hasRead chan bool // receives a value after each read
+	release chan bool
+}
+
+func (c *suspendedConn) suspend() {
+	c.hasRead <- true
+	<-c.release
+}
+
+func (c *suspendedConn) Read(p []byte) (int, error) {
+	defer c.suspend()
+	return c.TCPConn.Read(p)
+}
+
+func (c *suspendedConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return &suspendedRawConn{raw, c}, err
+}
+
+type suspendedRawConn struct {
+	syscall.RawConn
+	conn *suspendedConn
+}
+
+func (r *suspendedRawConn) Read(f func(fd uintptr) bool) error {
+	defer r.conn.suspend()
+	return r.RawConn.Read(f)
+}
+
+// Guards against a request that was read and got no answer: its connection was closed to make room, or at the shutdown, as
+// the data was no longer in the socket and not yet recorded as read.
+func TestConnectionIsNotClosedBetweenReadAndRecord(t *testing.T) {
+	listener := listenTCP(t)
+	clientSide := dialConns(t, listener.Addr().String(), 1)[0]
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	suspended := &suspendedConn{accepted.(*net.TCPConn), make(chan bool, 1), make(chan bool)}
+	conn := &clientConn{Conn: suspended} // has been idle since an earlier response
+	table := newConnTable(1, 1)
+	table.connStateChanged(conn, http.StateNew)
+	io.WriteString(clientSide, "GET")
+	read := make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, 10))
+		read <- err
+	}()
+	awaitSignal(t, suspended.hasRead, "the read of the request")
+	if remaining := table.closeIdle(0); remaining != 1 {
+		t.Errorf("%d connections remain, want the one with a request", remaining)
+	}
+	close(suspended.release)
+	if err := <-read; err != nil {
+		t.Errorf("the request was not read: %v", err)
+	}
+}
+
+// A connection that the table has begun to close must not read a request any more, as nobody would answer it.
+func TestDismissedConnectionReadsNothing(t *testing.T) {
+	listener := listenTCP(t)
+	clientSide := dialConns(t, listener.Addr().String(), 1)[0]
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	conn := &clientConn{Conn: accepted}
+	conn.dismissIf(func() bool {
+		io.WriteString(clientSide, "GET") // arrives after the table has found no data
+		return true
+	})
+	if n, err := conn.Read(make([]byte, 10)); n != 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("got %d bytes, error %v; want none and net.ErrClosed", n, err)
+	}
+	if state := peekSocket(accepted); state != dataAvailable {
+		t.Errorf("got socket state %v, want the data unread", state)
+	}
+}
