Limit the use of a list of backends that this process's discovery has not sent

Cause: where lists are pushed, a list had no end. That is right for a list that the agent has sent, as it learns nothing while it is silent, but not for the list saved before the start, nor, after SIGHUP, for that of the previous discovery.

Change: the event ListExpiry limits the use of the present list, to half of the drain grace at the start and to 4 s after a change of address, unless discovery sends a list. After that nothing is sent, and attempts must start before it. A process is not ready before its first list, for 5 s at most, in both modes.

TestReadyAfterFirstList asked that a process with pushed lists is ready at once, that is, gets clients that it may have to reject; it now asks the same of both modes.

--- a/cmd/herontiller/flood_test.go
+++ b/cmd/herontiller/flood_test.go
@@ -26,12 +26,12 @@
 	latestAnswer = usualTimeout + 550*time.Millisecond
 )
 
-// lastFloodID is the ID of the latest request of floodRequest.
-var lastFloodID atomic.Uint64
+// lastRequestID is the ID of the latest request of newCustomerRequest.
+var lastRequestID atomic.Uint64
 
-// floodRequest returns a request with a new ID, of a new customer.
-func floodRequest() string {
-	id := lastFloodID.Add(1)
+// newCustomerRequest returns a request with a new ID, of a new customer.
+func newCustomerRequest() string {
+	id := lastRequestID.Add(1)
 	return fmt.Sprintf("GET /c HTTP/1.1\r\nHost: h\r\nRequest-Id: %016x\r\nRequest-Class: c\r\nX-Tier: p\r\n"+
 		"X-Api-Key: %016x\r\nRequest-Timeout: %.3f\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n", id, id,
 		usualTimeout.Seconds())
@@ -48,7 +48,7 @@
 		conn.SetDeadline(time.Now().Add(2 * floodTime))
 		reader := bufio.NewReader(conn)
 		for !ended.Load() {
-			if _, err := io.WriteString(conn, floodRequest()); err != nil {
+			if _, err := io.WriteString(conn, newCustomerRequest()); err != nil {
 				break
 			}
 			response, err := http.ReadResponse(reader, nil)
@@ -70,7 +70,7 @@
 		return 0, err
 	}
 	defer conn.Close()
-	if _, err := io.WriteString(conn, floodRequest()); err != nil {
+	if _, err := io.WriteString(conn, newCustomerRequest()); err != nil {
 		return 0, err
 	}
 	conn.SetReadDeadline(time.Now().Add(latestAnswer))
--- a/cmd/herontiller/limits_test.go
+++ b/cmd/herontiller/limits_test.go
@@ -24,9 +24,15 @@
 // startProgram starts the program with a configuration and a limit on open file descriptors. It returns the process and
 // the address that the program listens on, once it serves.
 func startProgram(t *testing.T, configText string, descriptors int) (cmd *exec.Cmd, addr string) {
+	t.Helper()
+	return startProgramWithFile(t, writeConfig(t, configText), descriptors)
+}
+
+// startProgramWithFile is startProgram with the path of the configuration file.
+func startProgramWithFile(t *testing.T, path string, descriptors int) (cmd *exec.Cmd, addr string) {
 	t.Helper()
 	cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %q", descriptors, os.Args[0]))
-	cmd.Env = append(os.Environ(), "HERONTILLER_AS_PROGRAM=1", "NODE_CONFIG="+writeConfig(t, configText))
+	cmd.Env = append(os.Environ(), "HERONTILLER_AS_PROGRAM=1", "NODE_CONFIG="+path)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -92,13 +98,18 @@
 	start := time.Now()
 	_, addr := startProgram(t, string(configText), 256)
 	client := &http.Client{Timeout: 10 * time.Second}
-	response, err := client.Get("http://" + addr + "/ready")
-	if err != nil {
-		t.Fatal(err)
+	status := 0
+	for time.Since(start) <= 10*time.Second && status != http.StatusOK {
+		time.Sleep(10 * time.Millisecond)
+		response, err := client.Get("http://" + addr + "/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		status = response.StatusCode
 	}
-	response.Body.Close()
-	if elapsed := time.Since(start); response.StatusCode != http.StatusOK || elapsed > 10*time.Second {
-		t.Errorf("GET /ready returned %s after %v, want 200 OK within 10s", response.Status, elapsed)
+	if elapsed := time.Since(start); status != http.StatusOK || elapsed > 10*time.Second {
+		t.Errorf("GET /ready last returned status %d after %v, want 200 within 10s", status, elapsed)
 	}
 }
 
--- a/cmd/herontiller/main.go
+++ b/cmd/herontiller/main.go
@@ -51,7 +51,7 @@
 	watchCtx, stopWatching := context.WithCancel(context.Background())
 	defer stopWatching()
 	discoveryAddrs := make(chan string)
-	go frontdoor.WatchDiscovery(watchCtx, config, discoveryAddrs, loop.Update)
+	go frontdoor.WatchDiscovery(watchCtx, config, discoveryAddrs, loop.Update, loop.DiscoveryChanged)
 	go reload(watchCtx, path, hup, discoveryAddrs)
 	slog.Info("serving", "name", config.Name, "listen", listener.Addr(), "backends", len(config.SavedList.Endpoints))
 	err = frontdoor.NewServer(config, loop).Run(ctx, listener)
--- a/cmd/herontiller/main_test.go
+++ b/cmd/herontiller/main_test.go
@@ -34,6 +34,14 @@
 	return path
 }
 
+// replaceFile replaces a configuration file by one with the text.
+func replaceFile(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.Rename(writeConfig(t, text), path); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // SIGTERM cancels the context of run, which must then return without an error.
 func TestRunReturnsAfterSIGTERM(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -97,12 +105,6 @@
 			t.Fatalf("discovery received no request for %s", want)
 		}
 	}
-	replaceConfig := func(path, text string) {
-		t.Helper()
-		if err := os.Rename(writeConfig(t, text), path); err != nil {
-			t.Fatal(err)
-		}
-	}
 	oldAddr, oldRequests := startDiscovery()
 	newAddr, newRequests := startDiscovery()
 	path := writeConfig(t, fmt.Sprintf(configFormat, "127.0.0.1:0", oldAddr))
@@ -125,7 +127,7 @@
 	defer cmd.Process.Kill()
 	awaitRequest(oldRequests, "/v1/endpoints?watch=1&from=1")
 
-	replaceConfig(path, "{")
+	replaceFile(t, path, "{")
 	cmd.Process.Signal(syscall.SIGHUP)
 	timeout := time.After(waitTimeout)
 	for reported := false; !reported; {
@@ -139,7 +141,7 @@
 			t.Fatal("the invalid file was not logged")
 		}
 	}
-	replaceConfig(path, fmt.Sprintf(configFormat, "127.0.0.1:0", newAddr))
+	replaceFile(t, path, fmt.Sprintf(configFormat, "127.0.0.1:0", newAddr))
 	cmd.Process.Signal(syscall.SIGHUP)
 	awaitRequest(newRequests, "/v1/endpoints")
 	awaitRequest(newRequests, "/v1/endpoints?watch=1&from=3")
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -48,7 +48,7 @@
 		case listed <- struct{}{}:
 		default:
 		}
-	})
+	}, loop.DiscoveryChanged)
 	go func() { ended <- frontdoor.NewServer(config, loop).Run(ctx, listener) }()
 	t.Cleanup(func() {
 		stop()
--- a/internal/frontdoor/config.go
+++ b/internal/frontdoor/config.go
@@ -7,7 +7,8 @@
 //     conntable.go limits them;
 //   - backends.go sends attempts, responses.go reads the responses, surplus.go checks what follows them, pool.go limits and
 //     reuses the connections;
-//   - discovery.go keeps the list of backends up to date, lists.go parses it, pace.go determines timeouts and backoff.
+//   - discovery.go keeps the list of backends up to date, lists.go parses it, lease.go limits its use, pace.go determines
+//     timeouts and backoff.
 package frontdoor
 
 import (
--- a/internal/frontdoor/discovery.go
+++ b/internal/frontdoor/discovery.go
@@ -127,16 +127,18 @@
 // WatchDiscovery watches the configuration's discovery until ctx ends, starting at the version of the saved list. Each
 // address received from addresses replaces the previous one. Another discovery may number its versions differently, so
 // after a change of address the full list is requested first. update receives each list, and an empty list of changes
-// for each heartbeat.
-func WatchDiscovery(ctx context.Context, config Config, addresses <-chan string, update func(EndpointList)) {
+// for each heartbeat. addressChanged, which may be nil, is called between the last update from one address and the first
+// request to the next.
+func WatchDiscovery(ctx context.Context, config Config, addresses <-chan string, update func(EndpointList),
+	addressChanged func()) {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: discoveryConnectTimeout}).DialContext,
 		DisableKeepAlives: true, DisableCompression: true}
-	watchDiscoveryOver(ctx, transport, config, addresses, update)
+	watchDiscoveryOver(ctx, transport, config, addresses, update, addressChanged)
 }
 
 // watchDiscoveryOver is WatchDiscovery with a given transport.
 func watchDiscoveryOver(ctx context.Context, transport http.RoundTripper, config Config, addresses <-chan string,
-	update func(EndpointList)) {
+	update func(EndpointList), addressChanged func()) {
 	w := newWatcher(transport, newRetryPolicy(config), config.Discovery, config.SavedList.Version, update)
 	for {
 		watchCtx, stop := context.WithCancel(ctx)
@@ -156,6 +158,9 @@
 			return
 		}
 		w.addr, w.version = addr, noVersion
+		if addressChanged != nil {
+			addressChanged()
+		}
 	}
 }
 
--- a/internal/frontdoor/discovery_test.go
+++ b/internal/frontdoor/discovery_test.go
@@ -151,7 +151,7 @@
 	ended := make(chan bool)
 	go func() {
 		config := Config{Discovery: firstAddr, SavedList: EndpointList{Version: 800}}
-		WatchDiscovery(ctx, config, addresses, func(list EndpointList) { lists <- list })
+		WatchDiscovery(ctx, config, addresses, func(list EndpointList) { lists <- list }, nil)
 		close(ended)
 	}()
 	if got := <-firstRequests; got != "/v1/endpoints?watch=1&from=800" {
@@ -303,7 +303,7 @@
 				ended := make(chan bool)
 				go func() {
 					watchDiscoveryOver(ctx, discovery, test.config, addresses,
-						func(list EndpointList) { versions <- list.Version })
+						func(list EndpointList) { versions <- list.Version }, nil)
 					close(ended)
 				}()
 				if test.responses[0] == listThenSilence {
@@ -380,7 +380,7 @@
 	ended := make(chan bool)
 	go func() {
 		WatchDiscovery(ctx, Config{Discovery: startSilent("first")}, addresses,
-			func(list EndpointList) { lists <- list })
+			func(list EndpointList) { lists <- list }, nil)
 		close(ended)
 	}()
 	if got := <-requested; got != "first" {
--- a/internal/frontdoor/fleet_discovery_test.go
+++ b/internal/frontdoor/fleet_discovery_test.go
@@ -135,7 +135,7 @@
 			if w.firstList.IsZero() {
 				w.firstList = w.lastConfirmed
 			}
-		})
+		}, nil)
 	}()
 	return w
 }
--- a/internal/frontdoor/lease_test.go
+++ b/internal/frontdoor/lease_test.go
@@ -1,26 +1,36 @@
 package frontdoor
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"herontiller/internal/gateway"
 )
 
-// If the list must be requested, a new process must not be ready, nor use the saved list of its configuration, until
-// discovery has sent a list. After firstListTimeout it is ready even without one. If lists are pushed, a process is
-// ready immediately.
+// A new process must not be ready until discovery has sent a list: it would have to reject what other gateways can serve.
+// After firstListTimeout it is ready even without one. Until it has a list it must use the saved list of its configuration
+// for the first moments only, and not at all if lists must be requested.
 func TestReadyAfterFirstList(t *testing.T) {
-	config := newTestConfig(t)
-	if !NewServer(config, newTestLoop(t, config)).ready() {
-		t.Error("got a process that is not ready with pushed lists, want it ready immediately")
+	for name, subscribe := range map[string]bool{"pushed lists": false, "requested lists": true} {
+		t.Run(name, func(t *testing.T) {
+			config := newTestConfig(t)
+			config.Settings.SubscribeToList = subscribe
+			testReadyAfterFirstList(t, config)
+		})
 	}
-	config.Settings.SubscribeToList = true
+}
+
+func testReadyAfterFirstList(t *testing.T, config Config) {
 	config.SavedList = readyList("127.0.0.1:7")
 	loop := newTestLoop(t, config)
 	server := NewServer(config, loop)
+	if !config.Settings.SubscribeToList {
+		time.Sleep(savedListTime(config))
+	}
 	if server.ready() {
 		t.Error("got a process that is ready without a list from discovery, want it not ready")
 	}
@@ -79,3 +89,59 @@
 		}
 	}
 }
+
+// After a change of discovery's address, no list of the previous discovery may be taken for one of the new one: the change
+// must be reported after the last update from the previous address.
+func TestAddressChangeIsReportedAfterLastUpdate(t *testing.T) {
+	agent := startHTTPServer(t, func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, `{"seq":7,"whole":true,"hosts":[]}`)
+		for r.Context().Err() == nil { // heartbeats without a pause
+			w.(http.Flusher).Flush()
+			fmt.Fprintln(w)
+		}
+	})
+	silentAgent := startHTTPServer(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	ctx, cancel := context.WithCancel(t.Context())
+	addresses, ended := make(chan string), make(chan bool)
+	var updates, updatesAtChange atomic.Int64
+	changed := make(chan bool, 1)
+	go func() {
+		WatchDiscovery(ctx, Config{Discovery: agent}, addresses, func(EndpointList) { updates.Add(1) }, func() {
+			updatesAtChange.Store(updates.Load())
+			changed <- true
+		})
+		close(ended)
+	}()
+	for updates.Load() < 10 {
+		time.Sleep(time.Millisecond)
+	}
+	addresses <- silentAgent
+	awaitSignal(t, changed, "the change of the address")
+	time.Sleep(100 * time.Millisecond)
+	cancel()
+	<-ended
+	if got, want := updates.Load(), updatesAtChange.Load(); got != want {
+		t.Errorf("got %d updates after the change of the address, want none", got-want)
+	}
+}
+
+// DiscoveryChanged must limit the use of the present list, and a new process that of the saved list.
+func TestLoopLimitsTheUseOfUnconfirmedLists(t *testing.T) {
+	config := newTestConfig(t)
+	handler := newScriptedHandler(nil)
+	loop := newLoop(clock{time.Now()}, handler, NewBackends(config))
+	loop.DiscoveryChanged()
+	if got := nextEvent[gateway.ListExpiry](t, handler).After; got != reloadBound {
+		t.Errorf("got an expiry of the list after %v, want it after %v", got, reloadBound)
+	}
+	for _, drainGrace := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+		config.Settings.DrainGrace = drainGrace
+		limit := drainGrace
+		if limit == 0 {
+			limit = defaultDrainGrace
+		}
+		if got := savedListTime(config); got <= 0 || got >= limit {
+			t.Errorf("got %v for the saved list, want a time below DrainGrace, %v", got, limit)
+		}
+	}
+}
--- a/internal/frontdoor/loop.go
+++ b/internal/frontdoor/loop.go
@@ -93,21 +93,6 @@
 	actions  []gateway.Action // buffer reused between events
 }
 
-// leaseMargin is an upper limit for the time from when discovery writes a list until it has been handled here.
-const leaseMargin = 250 * time.Millisecond
-
-// listLease returns how long a list may be used after a service has confirmed it. An attempt that the gateway starts at
-// the end of the lease, on a new connection, must begin before stalenessBound has passed since a change that the
-// service may have received right after its confirmation. The result is 0, which means no limit, for pushed lists: the
-// protocol expects a gateway to know immediately what its agent holds. The lease is never shorter than half of
-// stalenessBound, so that heartbeats renew it in time even if connecting may take very long.
-func listLease(config Config) time.Duration {
-	if !config.Settings.SubscribeToList {
-		return 0
-	}
-	return max(stalenessBound/2, stalenessBound-leaseMargin-config.Connections.ConnectTimeout)
-}
-
 // NewLoop returns a Loop with a new gateway that has the saved list of the configuration. Errors are those of
 // gateway.New.
 func NewLoop(config Config, backends *Backends) (*Loop, error) {
@@ -120,6 +105,7 @@
 	}
 	l := newLoop(gatewayClock, handler, backends)
 	l.update(config.SavedList, gateway.ListSaved)
+	l.expireList(savedListTime(config))
 	return l, nil
 }
 
@@ -138,6 +124,17 @@
 	l.hasList.Store(true)
 }
 
+// DiscoveryChanged limits the use of the present list, which was sent by a discovery that is no longer the gateway's. It is to
+// be called after the last Update with a list of that discovery.
+func (l *Loop) DiscoveryChanged() { l.expireList(reloadBound) }
+
+// expireList limits the use of the present list to the given time, unless discovery sends a list before.
+func (l *Loop) expireList(after time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.handle(gateway.ListExpiry{After: after})
+}
+
 func (l *Loop) update(list EndpointList, kind gateway.ListKind) {
 	list.Endpoints = validEndpoints(list.Endpoints)
 	l.mu.Lock()
--- a/internal/frontdoor/readiness.go
+++ b/internal/frontdoor/readiness.go
@@ -8,9 +8,9 @@
 // readinessPath is the path of readiness probes.
 const readinessPath = "/ready"
 
-// firstListTimeout is how long a new process that must request the list is not ready without one: it must not send to
-// any backend before it has received a list. Then it becomes ready all the same, as a restarted process must be ready
-// within 6 s.
+// firstListTimeout is how long a new process is not ready without a list from discovery: it must not send to any backend
+// before, apart from its first moments, and other gateways can serve its clients. Then it becomes ready all the same, as a
+// restarted process must be ready within 6 s.
 const firstListTimeout = 5 * time.Second
 
 // isReadinessProbe reports whether a request asks if the gateway is ready for clients.
@@ -37,5 +37,5 @@
 	if s.killTime.Load() != nil {
 		return false
 	}
-	return !s.settings.SubscribeToList || s.loop.hasList.Load() || time.Since(s.started) >= firstListTimeout
+	return s.loop.hasList.Load() || time.Since(s.started) >= firstListTimeout
 }
--- a/internal/gateway/api.go
+++ b/internal/gateway/api.go
@@ -187,6 +187,10 @@
 	Backends []BackendInfo
 }
 
+// ListExpiry limits how long the present list of backends may be used if discovery sends no list: after that no attempt
+// begins before its next ListChanges or ListFull.
+type ListExpiry struct{ After time.Duration }
+
 // Result says how an attempt or a probe ended.
 type Result uint8
 
@@ -242,6 +246,7 @@
 
 func (Request) isEvent()       {}
 func (BackendList) isEvent()   {}
+func (ListExpiry) isEvent()    {}
 func (Outcome) isEvent()       {}
 func (AnswerStarted) isEvent() {}
 func (ClientGone) isEvent()    {}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -14,11 +14,7 @@
 
 // send sends an attempt of the request to the backend, in the given slot.
 func (g *Gateway) send(request *requestState, backend *trackedBackend, slot *heldSlot) {
-	startWithin := time.Duration(0)
-	// Establishing a connection may take long, and a repeat must not start after the end of its DedupWindow.
-	if earlier := request.mayHaveRun(); earlier != nil && request.class.Effect == Deduplicated {
-		startWithin = g.dedupRemaining(request, earlier)
-	}
+	startWithin := g.startLimit(request)
 	request.attempts = append(request.attempts,
 		attemptState{backend: backend, sentAt: g.now, inFlight: true, slot: slot})
 	g.updateOverdue(backend)
@@ -30,6 +26,19 @@
 	g.emit(Send{Request: request.id, Backend: backend.ID, StartWithin: startWithin})
 }
 
+// startLimit returns the time within which an attempt of the request must start; 0: no limit. Establishing a connection
+// may take long, and an attempt must not start after the list has expired, nor a repeat after the end of its DedupWindow.
+func (g *Gateway) startLimit(request *requestState) time.Duration {
+	latest := g.listExpiresAt
+	if earlier := request.mayHaveRun(); earlier != nil && request.class.Effect == Deduplicated {
+		latest = min(latest, g.now+g.dedupRemaining(request, earlier))
+	}
+	if latest == forever {
+		return 0
+	}
+	return latest - g.now
+}
+
 // onOutcome handles the end of an attempt: it retries the request or answers it, unless it has ended.
 func (g *Gateway) onOutcome(ev Outcome) {
 	request := g.requests[ev.Request]
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -21,6 +21,8 @@
 		g.onRequest(ev)
 	case BackendList:
 		g.onBackendList(ev)
+	case ListExpiry:
+		g.onListExpiry(ev)
 	case Outcome:
 		g.onOutcome(ev)
 	case AnswerStarted:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,7 +30,7 @@
 		classes: map[string]*classState{}, plans: map[string]*Plan{},
 		backends: map[BackendID]*trackedBackend{}, requests: map[RequestID]*requestState{},
 		requestsBySeq: map[uint64]*requestState{}, customers: map[CustomerID]*customerState{},
-		concurrencyLimit: math.Inf(1), lastSplitAt: now, sendRate: minOutcomes}
+		concurrencyLimit: math.Inf(1), lastSplitAt: now, sendRate: minOutcomes, listExpiresAt: forever}
 	for _, spec := range settings.Classes {
 		initialLatency := spec.TargetLatency.Seconds() / 4
 		class := &classState{Class: spec, meanLatency: initialLatency, minLatency: initialLatency,
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -63,6 +63,56 @@
 	}
 }
 
+// After a ListExpiry nothing may be sent, with or without a lease, until discovery sends a list: neither the list nor an
+// answer confirms a backend. Attempts that begin before must not be delayed beyond it. The earliest of several counts.
+func TestExpiredListConfirmsNoBackend(t *testing.T) {
+	for name, settings := range map[string]Settings{"without a lease": testSettings(), "with a lease": leaseSettings()} {
+		tg := newTestGateway(t, settings, testBackends(3)...)
+		tg.handle(BackendList{Kind: ListChanges})
+		tg.handle(ListExpiry{After: 300 * ms})
+		tg.now += 100 * ms
+		tg.handle(ListExpiry{After: second})
+		tg.handle(BackendList{Kind: ListFailed})
+		tg.now += 150 * ms
+		id, actions := tg.submit("safe", "large", 1)
+		sends := sendActions(actions)
+		if len(sends) != 1 || sends[0].StartWithin != 50*ms {
+			t.Fatalf("%s: got %v 50ms before the expiry, want a send that starts within 50ms", name, sends)
+		}
+		tg.now += 49 * ms
+		tg.endAttempt(id, sends[0].Backend, 0, Answered)
+		if _, backend := tg.requestOne(); backend == 0 {
+			t.Errorf("%s: got a rejection 1ms before the expiry, want a send", name)
+		}
+		tg.now += ms
+		_, actions = tg.submit("safe", "large", 1)
+		if rejects, _ := countFinalAnswers(actions); rejects != 1 || len(sendActions(actions)) != 0 {
+			t.Errorf("%s: got %v after the expiry, want a rejection and no send", name, actions)
+		}
+		tg.handle(BackendList{Kind: ListChanges})
+		_, actions = tg.submit("safe", "large", 1)
+		if sends := sendActions(actions); len(sends) != 1 || sends[0].StartWithin != 0 {
+			t.Errorf("%s: got %v after an update, want a send without a limit on its start", name, sends)
+		}
+		tg.now += 2 * second
+		if _, backend := tg.requestOne(); backend == 0 {
+			t.Errorf("%s: got a rejection 2s after an update, want a send", name)
+		}
+	}
+}
+
+// A retry that comes after the expiry of the list must not be sent.
+func TestExpiredListEndsRetries(t *testing.T) {
+	tg := newTestGateway(t, testSettings(), testBackends(3)...)
+	tg.handle(ListExpiry{After: 300 * ms})
+	id, backend := tg.requestOne()
+	tg.now += 300 * ms
+	actions := tg.endAttempt(id, backend, 0, NoConnection)
+	if rejects, _ := countFinalAnswers(actions); rejects != 1 || len(sendActions(actions)) != 0 {
+		t.Errorf("got %v, want a rejection and no send", actions)
+	}
+}
+
 // A confirmed list is valid for its lease, and each confirmation renews the lease.
 func TestUpdatesRenewTheListLease(t *testing.T) {
 	tg := newTestGateway(t, leaseSettings(), testBackends(3)...)
@@ -138,12 +188,17 @@
 		var inFlight []sentAttempt
 		attempts := map[RequestID]int{}
 		listValidUntil, confirmedUntil := time.Duration(0), map[BackendID]time.Duration{}
+		expiresAt := forever
 		sent, sentWithoutList := 0, 0
 		record := func(actions []Action) {
 			for _, send := range sendActions(actions) {
-				if tg.now >= max(listValidUntil, confirmedUntil[send.Backend]) {
-					t.Fatalf("seed %d: got a send to backend %d at %v, want none; list valid to %v, confirmed to %v",
-						seed, send.Backend, tg.now, listValidUntil, confirmedUntil[send.Backend])
+				if tg.now >= max(listValidUntil, confirmedUntil[send.Backend]) || tg.now >= expiresAt {
+					t.Fatalf("seed %d: got a send to backend %d at %v, want none; list valid to %v, confirmed to %v, "+
+						"expiry at %v", seed, send.Backend, tg.now, listValidUntil, confirmedUntil[send.Backend], expiresAt)
+				}
+				if expiresAt < forever && (send.StartWithin <= 0 || tg.now+send.StartWithin > expiresAt) {
+					t.Fatalf("seed %d: got a send at %v that starts within %v, want it to start before the expiry at %v",
+						seed, tg.now, send.StartWithin, expiresAt)
 				}
 				inFlight = append(inFlight, sentAttempt{send.Request, send.Backend, attempts[send.Request], tg.now})
 				attempts[send.Request]++
@@ -157,10 +212,14 @@
 			tg.now += time.Duration(rng.ExpFloat64() * float64(10*ms))
 			switch x := rng.Float64(); {
 			case x < 0.001:
-				listValidUntil = tg.now + testLease
+				listValidUntil, expiresAt = tg.now+testLease, forever
 				record(tg.handle(BackendList{Kind: ListChanges}))
 			case x < 0.003:
 				record(tg.handle(BackendList{Kind: ListFailed}))
+			case x < 0.0032:
+				after := time.Duration(rng.Int64N(int64(2 * testLease)))
+				expiresAt = min(expiresAt, tg.now+after)
+				record(tg.handle(ListExpiry{After: after}))
 			case x < 0.5:
 				_, actions := tg.submit("safe", "large", CustomerID(rng.IntN(50)))
 				record(actions)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -135,6 +135,7 @@
 	actions            []Action
 	backends           map[BackendID]*trackedBackend
 	listValidUntil     time.Duration // end of the lease of the list of backends
+	listExpiresAt      time.Duration // from then on no backend is confirmed, unless discovery sends a list before
 	requests           map[RequestID]*requestState
 	requestsBySeq      map[uint64]*requestState
 	lastSeq            uint64 // seq of the last request
--- a/internal/scalelab/sockets.go
+++ b/internal/scalelab/sockets.go
@@ -74,7 +74,7 @@
 		if list.Full {
 			gateway.appliedLists <- count
 		}
-	})
+	}, loop.DiscoveryChanged)
 	go func() { gateway.runResult <- frontdoor.NewServer(config, loop).Run(ctx, listener) }()
 	return gateway, nil
 }
--- a/internal/scalelab/watches.go
+++ b/internal/scalelab/watches.go
@@ -62,7 +62,7 @@
 			} else {
 				notified <- time.Now()
 			}
-		})
+		}, nil)
 	}
 	progress.Show("watches: starting %d gateways", gateways)
 	if !waitFor(ctx, func() bool { return int(started.Load()) >= gateways && agent.WatchCount() >= gateways }) {
