--- a/cmd/herontiller/flood_test.go
+++ b/cmd/herontiller/flood_test.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// sendOnce sends a request on a new connection and returns the status of its answer.
-func sendOnce(addr string) (status int, err error) {
+// sendOnce sends a request on a new connection and returns the status of its answer, which must come within the given time.
+func sendOnce(addr string, within time.Duration) (status int, err error) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return 0, err
@@ -73,7 +73,7 @@
 	if _, err := io.WriteString(conn, newCustomerRequest()); err != nil {
 		return 0, err
 	}
-	conn.SetReadDeadline(time.Now().Add(latestAnswer))
+	conn.SetReadDeadline(time.Now().Add(within))
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0, err
@@ -90,14 +90,9 @@
 		io.WriteString(w, "done")
 	}))
 	defer backend.Close()
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintf(w, `{"seq":2,"whole":true,"hosts":[{"host":"s-1","dial":"%s","health":"Ready","share":1}]}`+"\n",
-			strings.TrimPrefix(backend.URL, "http://"))
-		w.(http.Flusher).Flush()
-		<-r.Context().Done()
-	}))
-	defer discovery.CloseClientConnections()
-	configText := fmt.Sprintf(configFormat, "127.0.0.1:0", strings.TrimPrefix(discovery.URL, "http://"))
+	var silent atomic.Bool
+	configText := fmt.Sprintf(configFormat, "127.0.0.1:0",
+		startAgent(t, strings.TrimPrefix(backend.URL, "http://"), &silent))
 	configText = strings.Replace(configText, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, floodDescriptors), 1)
 	_, addr := startProgram(t, configText, floodDescriptors)
 
@@ -108,7 +103,7 @@
 	}
 	for start := time.Now(); time.Since(start) < floodTime; time.Sleep(usualInterval) {
 		clients.Go(func() {
-			if status, err := sendOnce(addr); status != http.StatusOK && status != http.StatusServiceUnavailable {
+			if status, err := sendOnce(addr, latestAnswer); status != http.StatusOK && status != http.StatusServiceUnavailable {
 				t.Errorf("got status %d, error %v; want 200 or 503 within %v", status, err, latestAnswer)
 			}
 		})
--- a/cmd/herontiller/stale_list_test.go
+++ b/cmd/herontiller/stale_list_test.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -42,18 +39,11 @@
 // statusOf sends a request and returns the status of the response.
 func statusOf(t *testing.T, addr string) int {
 	t.Helper()
-	conn, err := net.Dial("tcp", addr)
+	status, err := sendOnce(addr, waitTimeout)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
-	io.WriteString(conn, newCustomerRequest())
-	conn.SetReadDeadline(time.Now().Add(waitTimeout))
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return response.StatusCode
+	return status
 }
 
 // sendUntil sends a request every 20 ms and returns when one is answered with the status.
