--- a/cmd/herontiller/flood_test.go
+++ b/cmd/herontiller/flood_test.go
@@ -21,8 +21,8 @@
 	usualInterval    = 50 * time.Millisecond
 	usualTimeout     = time.Second // of the requests of other clients
 
-	// latestAnswer is how long after its end an answer must have arrived: until then it earns nothing, but is not lost. Time
-	// limits on sockets are 50 ms longer.
+	// latestAnswer is how long after its end an answer must have arrived: until then it earns nothing, but is not lost.
+	// Time limits on sockets are 50 ms longer.
 	latestAnswer = usualTimeout + 550*time.Millisecond
 )
 
@@ -37,8 +37,8 @@
 		usualTimeout.Seconds())
 }
 
-// sendRepeatedly sends requests at full speed, one at a time, until ended is set. It connects again when its connection is
-// closed.
+// sendRepeatedly sends requests at full speed, one at a time, until ended is set. It connects again when its connection
+// is closed.
 func sendRepeatedly(addr string, ended *atomic.Bool) {
 	for !ended.Load() {
 		conn, err := net.Dial("tcp", addr)
@@ -63,7 +63,8 @@
 	}
 }
 
-// sendOnce sends a request on a new connection and returns the status of its answer, which must come within the given time.
+// sendOnce sends a request on a new connection and returns the status of its answer, which must come within the given
+// time.
 func sendOnce(addr string, within time.Duration) (status int, err error) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
--- a/cmd/herontiller/stale_list_test.go
+++ b/cmd/herontiller/stale_list_test.go
@@ -56,9 +56,10 @@
 	}
 }
 
-// Guards against attempts at a draining backend by a list that has not been confirmed, for as long as discovery is silent:
-// a new process used the list that was saved before its start, and after SIGHUP the list of the previous discovery was used.
-// Attempts must end in time, requests be rejected, and attempts begin again once discovery sends a list.
+// Guards against attempts at a draining backend by a list that has not been confirmed, for as long as discovery is
+// silent: a new process used the list that was saved before its start, and after SIGHUP the list of the previous
+// discovery was used. Attempts must end in time, requests be rejected, and attempts begin again once discovery sends a
+// list.
 func TestStaleListIsNotUsedWhileTheAgentIsSilent(t *testing.T) {
 	for name, test := range map[string]struct {
 		reload bool          // the agent that is silent is that of a new configuration
--- a/internal/frontdoor/backends_failure_test.go
+++ b/internal/frontdoor/backends_failure_test.go
@@ -13,8 +13,8 @@
 )
 
 // Data after a response would be read as the response to the next request on the connection, and a client would receive
-// the response to another request. So such a connection must not be reused. Data right behind a response that is not a copy
-// of it may be the rest of its body, so the response is not used either.
+// the response to another request. So such a connection must not be reused. Data right behind a response that is not a
+// copy of it may be the rest of its body, so the response is not used either.
 func TestConnectionWithSurplusDataIsNotReused(t *testing.T) {
 	for name, test := range map[string]struct {
 		surplus       string
--- a/internal/frontdoor/config.go
+++ b/internal/frontdoor/config.go
@@ -29,8 +29,8 @@
 	Sockets  int     `json:"sockets"`   // file descriptors
 }
 
-// Clients and backends may each use 5/12 of the file descriptors, and clients another 1/16 while most of their connections
-// have requests. The remaining 5/48 are for the listener, discovery and files.
+// Clients and backends may each use 5/12 of the file descriptors, and clients another 1/16 while most of their
+// connections have requests. The remaining 5/48 are for the listener, discovery and files.
 
 // maxClientConns returns how many connections of clients are kept, and how many of their requests may be in progress.
 // Concurrent requests need at most a third of the file descriptors; the rest of the 5/12 is for the idle connections of
--- a/internal/frontdoor/conns.go
+++ b/internal/frontdoor/conns.go
@@ -104,8 +104,8 @@
 	return n, err
 }
 
-// readRequest reads a part of a request like net.Conn's Read. It sets requestBegun together with taking the data from the
-// socket, so that connTable doesn't take the connection for an idle one in between.
+// readRequest reads a part of a request like net.Conn's Read. It sets requestBegun together with taking the data from
+// the socket, so that connTable doesn't take the connection for an idle one in between.
 func (c *clientConn) readRequest(p []byte) (n int, err error) {
 	if c.raw == nil {
 		if c.raw, err = c.SyscallConn(); err != nil {
--- a/internal/frontdoor/conntable.go
+++ b/internal/frontdoor/conntable.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// firstRequestGrace is how long a new connection may be silent before it is closed to make room: a client writes its
-	// request right after it has connected.
+	// firstRequestGrace is how long a new connection may be silent before it is closed to make room: a client writes
+	// its request right after it has connected.
 	firstRequestGrace = 50 * time.Millisecond
-	// stalledRequestTime is how long a client may stop in the middle of a request's head before its connection is closed
-	// to make room at the limit of open connections.
+	// stalledRequestTime is how long a client may stop in the middle of a request's head before its connection is
+	// closed to make room at the limit of open connections.
 	stalledRequestTime = 500 * time.Millisecond
 	// roomCheckInterval is the interval of checks for connections to close while there is no room for a new one.
 	roomCheckInterval = 20 * time.Millisecond
@@ -22,10 +22,11 @@
 
 // connTable limits the number of clients' connections, and of their requests in progress.
 //
-// Beyond maxServed connections, the one that has been idle for longest is closed, whether it is idle between requests or
-// before its first. A connection with a request is never closed, whether the request is in progress or has only arrived.
-// So if most connections have requests, there may be up to maxOpen: of these, the requests beyond maxServed are rejected,
-// and each connection is closed after its response, so that clients which wait to be accepted have their turn.
+// Beyond maxServed connections, the one that has been idle for longest is closed, whether it is idle between requests
+// or before its first. A connection with a request is never closed, whether the request is in progress or has only
+// arrived. So if most connections have requests, there may be up to maxOpen: of these, the requests beyond maxServed
+// are rejected, and each connection is closed after its response, so that clients which wait to be accepted have their
+// turn.
 //
 // At maxOpen connections, accepting waits until one of them is closed. This takes as long as rejecting a request.
 type connTable struct {
@@ -44,8 +45,8 @@
 		open: map[net.Conn]*list.Element{}, idle: list.New()}
 }
 
-// connStateChanged is the HTTP server's ConnState hook. It is called for a new connection before that is served and before
-// the next one is accepted, and returns when there is room for the connection.
+// connStateChanged is the HTTP server's ConnState hook. It is called for a new connection before that is served and
+// before the next one is accepted, and returns when there is room for the connection.
 func (t *connTable) connStateChanged(conn net.Conn, state http.ConnState) {
 	t.setState(conn, state)
 	if state == http.StateNew {
@@ -106,8 +107,8 @@
 	runtime.Gosched()
 }
 
-// closeExcess closes dispensable connections beyond maxServed, the longest idle first. It reports whether at most maxOpen
-// connections remain.
+// closeExcess closes dispensable connections beyond maxServed, the longest idle first. It reports whether at most
+// maxOpen connections remain.
 func (t *connTable) closeExcess(accepted net.Conn) bool {
 	dismissed, remaining := t.dismissIdle(t.maxServed, func(conn net.Conn) bool {
 		return conn != accepted && t.isDispensable(conn)
@@ -116,8 +117,8 @@
 	return remaining <= t.maxOpen
 }
 
-// isDispensable reports whether an idle connection may be closed to make room: one without a request, or, beyond maxOpen
-// connections, one whose client has stopped in the middle of a request. The caller must hold the lock.
+// isDispensable reports whether an idle connection may be closed to make room: one without a request, or, beyond
+// maxOpen connections, one whose client has stopped in the middle of a request. The caller must hold the lock.
 func (t *connTable) isDispensable(conn net.Conn) bool {
 	client, ok := conn.(*clientConn)
 	if !ok {
@@ -144,9 +145,9 @@
 	return remaining
 }
 
-// dismissIdle removes the idle connections for which a condition holds from the table, the longest idle first, until there
-// are at most enough. It returns them, to be closed, and how many connections remain. The condition is called while the
-// lock is held.
+// dismissIdle removes the idle connections for which a condition holds from the table, the longest idle first, until
+// there are at most enough. It returns them, to be closed, and how many connections remain. The condition is called
+// while the lock is held.
 func (t *connTable) dismissIdle(enough int, condition func(net.Conn) bool) (dismissed []net.Conn, remaining int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/frontdoor/conntable_test.go
+++ b/internal/frontdoor/conntable_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// Guards against requests that get no answer while others occupy all connections: each must be rejected at once, also one
-// whose body is still to come, and the requests in progress must not suffer.
+// Guards against requests that get no answer while others occupy all connections: each must be rejected at once, also
+// one whose body is still to come, and the requests in progress must not suffer.
 func TestRequestsBeyondTheConnectionLimitAreRejected(t *testing.T) {
 	handler := newScriptedHandler(rejectOverload)
 	instance, _ := startGatewayWithSockets(t, handler, limitedSockets)
@@ -85,8 +85,8 @@
 	}
 }
 
-// Guards against requests that wait in the backlog for clients that have stopped in the middle of a head: the connections
-// of these must be closed in time for an answer.
+// Guards against requests that wait in the backlog for clients that have stopped in the middle of a head: the
+// connections of these must be closed in time for an answer.
 func TestStalledHeadsMakeRoomForRequests(t *testing.T) {
 	const timeout = 800 * time.Millisecond
 	instance, _ := startGatewayWithSockets(t, newScriptedHandler(rejectAll), limitedSockets)
@@ -103,8 +103,8 @@
 	}
 }
 
-// While there are more connections than are kept, each must be closed after its response, as other clients wait for their
-// turn. Otherwise it must be kept.
+// While there are more connections than are kept, each must be closed after its response, as other clients wait for
+// their turn. Otherwise it must be kept.
 func TestConnectionsTakeTurnsIfThereAreTooMany(t *testing.T) {
 	for name, test := range map[string]struct {
 		stalled   int // other connections, on which a request has begun
--- a/internal/frontdoor/discovery.go
+++ b/internal/frontdoor/discovery.go
@@ -127,8 +127,8 @@
 // WatchDiscovery watches the configuration's discovery until ctx ends, starting at the version of the saved list. Each
 // address received from addresses replaces the previous one. Another discovery may number its versions differently, so
 // after a change of address the full list is requested first. update receives each list, and an empty list of changes
-// for each heartbeat. addressChanged, which may be nil, is called between the last update from one address and the first
-// request to the next.
+// for each heartbeat. addressChanged, which may be nil, is called between the last update from one address and the
+// first request to the next.
 func WatchDiscovery(ctx context.Context, config Config, addresses <-chan string, update func(EndpointList),
 	addressChanged func()) {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: discoveryConnectTimeout}).DialContext,
--- a/internal/frontdoor/lease_test.go
+++ b/internal/frontdoor/lease_test.go
@@ -11,9 +11,9 @@
 	"herontiller/internal/gateway"
 )
 
-// A new process must not be ready until discovery has sent a list: it would have to reject what other gateways can serve.
-// After firstListTimeout it is ready even without one. Until it has a list it must use the saved list of its configuration
-// for the first moments only, and not at all if lists must be requested.
+// A new process must not be ready until discovery has sent a list: it would have to reject what other gateways can
+// serve. After firstListTimeout it is ready even without one. Until it has a list it must use the saved list of its
+// configuration for the first moments only, and not at all if lists must be requested.
 func TestReadyAfterFirstList(t *testing.T) {
 	for name, subscribe := range map[string]bool{"pushed lists": false, "requested lists": true} {
 		t.Run(name, func(t *testing.T) {
@@ -90,8 +90,8 @@
 	}
 }
 
-// After a change of discovery's address, no list of the previous discovery may be taken for one of the new one: the change
-// must be reported after the last update from the previous address.
+// After a change of discovery's address, no list of the previous discovery may be taken for one of the new one: the
+// change must be reported after the last update from the previous address.
 func TestAddressChangeIsReportedAfterLastUpdate(t *testing.T) {
 	agent := startHTTPServer(t, func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintln(w, `{"seq":7,"whole":true,"hosts":[]}`)
--- a/internal/frontdoor/loop.go
+++ b/internal/frontdoor/loop.go
@@ -124,8 +124,8 @@
 	l.hasList.Store(true)
 }
 
-// DiscoveryChanged limits the use of the present list, which was sent by a discovery that is no longer the gateway's. It is to
-// be called after the last Update with a list of that discovery.
+// DiscoveryChanged limits the use of the present list, which was sent by a discovery that is no longer the gateway's.
+// It is to be called after the last Update with a list of that discovery.
 func (l *Loop) DiscoveryChanged() { l.expireList(reloadBound) }
 
 // expireList limits the use of the present list to the given time, unless discovery sends a list before.
--- a/internal/frontdoor/races_test.go
+++ b/internal/frontdoor/races_test.go
@@ -279,8 +279,8 @@
 	}
 }
 
-// suspendedConn returns from a read of data only after release has been closed, as if the goroutine were suspended right
-// after the system call.
+// suspendedConn returns from a read of data only after release has been closed, as if the goroutine were suspended
+// right after the system call.
 type suspendedConn struct {
 	*net.TCPConn
 	hasRead chan bool // receives a value after each read
@@ -312,8 +312,8 @@
 	return r.RawConn.Read(f)
 }
 
-// Guards against a request that was read and got no answer: its connection was closed to make room, or at the shutdown, as
-// the data was no longer in the socket and not yet recorded as read.
+// Guards against a request that was read and got no answer: its connection was closed to make room, or at the shutdown,
+// as the data was no longer in the socket and not yet recorded as read.
 func TestConnectionIsNotClosedBetweenReadAndRecord(t *testing.T) {
 	listener := listenTCP(t)
 	clientSide := dialConns(t, listener.Addr().String(), 1)[0]
--- a/internal/frontdoor/readiness.go
+++ b/internal/frontdoor/readiness.go
@@ -8,9 +8,9 @@
 // readinessPath is the path of readiness probes.
 const readinessPath = "/ready"
 
-// firstListTimeout is how long a new process is not ready without a list from discovery: it must not send to any backend
-// before, apart from its first moments, and other gateways can serve its clients. Then it becomes ready all the same, as a
-// restarted process must be ready within 6 s.
+// firstListTimeout is how long a new process is not ready without a list from discovery: it must not send to any
+// backend before, apart from its first moments, and other gateways can serve its clients. Then it becomes ready all the
+// same, as a restarted process must be ready within 6 s.
 const firstListTimeout = 5 * time.Second
 
 // isReadinessProbe reports whether a request asks if the gateway is ready for clients.
--- a/internal/frontdoor/responses.go
+++ b/internal/frontdoor/responses.go
@@ -88,8 +88,8 @@
 	return &message{Response: response, framing: framing, body: body}, nil
 }
 
-// readFinalHead reads the head of a response. It skips interim responses, which have a status of 1xx. It also returns the
-// head as received, which is valid until the next response is read.
+// readFinalHead reads the head of a response. It skips interim responses, which have a status of 1xx. It also returns
+// the head as received, which is valid until the next response is read.
 func readFinalHead(conn *pooledConn, method string) (response *http.Response, head []byte, err error) {
 	for {
 		start := conn.recordedAndParsed()
@@ -103,7 +103,8 @@
 	}
 }
 
-// startRecording discards what was recorded before, and records what has not been parsed yet and what is read from now on.
+// startRecording discards what was recorded before, and records what has not been parsed yet and what is read from now
+// on.
 func (c *pooledConn) startRecording() {
 	unparsed, _ := c.reader.Peek(c.reader.Buffered()) // can't fail: it reads nothing
 	c.limited.recording = true
--- a/internal/frontdoor/shutdown.go
+++ b/internal/frontdoor/shutdown.go
@@ -41,8 +41,8 @@
 	return nil
 }
 
-// closeAfterResponse makes the HTTP server close the connection after this response if the process is shutting down, or if
-// there are more connections than are kept.
+// closeAfterResponse makes the HTTP server close the connection after this response if the process is shutting down, or
+// if there are more connections than are kept.
 func (s *Server) closeAfterResponse(w http.ResponseWriter) {
 	if s.killTime.Load() != nil || s.connections.isCrowded() {
 		w.Header().Set("Connection", "close")
--- a/internal/frontdoor/surplus.go
+++ b/internal/frontdoor/surplus.go
@@ -10,8 +10,8 @@
 // maxSurplusLogged is how many bytes of surplus data an error shows.
 const maxSurplusLogged = 40
 
-// surplusDataError reports a response that is followed by other data than a second copy of the response. Its stated length
-// may be too small, and the data the rest of its body.
+// surplusDataError reports a response that is followed by other data than a second copy of the response. Its stated
+// length may be too small, and the data the rest of its body.
 type surplusDataError struct {
 	bodyLength int    // bytes, by the framing of the response
 	surplus    []byte // the first bytes behind the response
@@ -19,7 +19,8 @@
 }
 
 func (e *surplusDataError) Error() string {
-	return fmt.Sprintf("the response, whose stated body has %d bytes, is followed by %q: %v", e.bodyLength, e.surplus, e.cause)
+	return fmt.Sprintf("the response, whose stated body has %d bytes, is followed by %q: %v", e.bodyLength, e.surplus,
+		e.cause)
 }
 
 func (e *surplusDataError) Unwrap() error { return e.cause }
@@ -33,11 +34,11 @@
 const responsePrefix = "HTTP/1."
 
 // checkSurplus checks what has arrived behind a complete response. A backend may send a second copy of a response. Any
-// other data may be the rest of a body whose stated length is too small, and such a body must not reach a client. Data that
-// has not arrived yet is found when the connection is to be reused.
+// other data may be the rest of a body whose stated length is too small, and such a body must not reach a client. Data
+// that has not arrived yet is found when the connection is to be reused.
 //
-// It reports whether the connection may be reused: if nothing has arrived and the backend has not closed it. An error is a
-// *surplusDataError.
+// It reports whether the connection may be reused: if nothing has arrived and the backend has not closed it. An error
+// is a *surplusDataError.
 func (c *pooledConn) checkSurplus(method string, response *message) (reusable bool, err error) {
 	state := peekSocket(c.Conn)
 	if c.reader.Buffered() == 0 && state != dataAvailable {
@@ -55,8 +56,8 @@
 	return false, nil
 }
 
-// readCopy reads a second copy of a response, of which the first bytes are in the buffer. It fails if they are something
-// else, or if there is still more data behind the copy.
+// readCopy reads a second copy of a response, of which the first bytes are in the buffer. It fails if they are
+// something else, or if there is still more data behind the copy.
 func (c *pooledConn) readCopy(method string, response *message) error {
 	start, _ := c.reader.Peek(min(len(responsePrefix), c.reader.Buffered()))
 	if !strings.HasPrefix(responsePrefix, string(start)) {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -26,8 +26,9 @@
 	g.emit(Send{Request: request.id, Backend: backend.ID, StartWithin: startWithin})
 }
 
-// startLimit returns the time within which an attempt of the request must start; 0: no limit. Establishing a connection
-// may take long, and an attempt must not start after the list has expired, nor a repeat after the end of its DedupWindow.
+// startLimit returns the time within which an attempt of the request must start; 0: no limit. Establishing a
+// connection may take long, and an attempt must not start after the list has expired, nor a repeat after the
+// end of its DedupWindow.
 func (g *Gateway) startLimit(request *requestState) time.Duration {
 	latest := g.listExpiresAt
 	if earlier := request.mayHaveRun(); earlier != nil && request.class.Effect == Deduplicated {
--- a/internal/gateway/forget_test.go
+++ b/internal/gateway/forget_test.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// Guards against a gateway that runs out of memory: clients that name a new customer in each request, and are rejected, made
-// it remember 300 bytes of each for a minute. Customers that were sent something must still be remembered for that long.
+// Guards against a gateway that runs out of memory: clients that name a new customer in each request, and are rejected,
+// made it remember 300 bytes of each for a minute. Customers that were sent something must still be remembered for that
+// long.
 func TestFloodOfNewCustomersIsForgotten(t *testing.T) {
 	const (
 		sentCustomers    = 100
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,7 +17,7 @@
 	splitInterval    = 5 * second  // time between splits of the slots; the specification prescribes it
 	customerIdleTime = time.Minute // after it an idle customer is deleted; the specification prescribes it
 
-	maxUnsentCustomers = 8192 // customers that were never sent anything and are remembered for customerIdleTime
+	maxUnsentCustomers = 8192 // most customers that were never sent anything and are remembered so long
 )
 
 // New returns a gateway that starts at the time now, with a random number generator of the given seed. It
@@ -48,11 +48,11 @@
 	return g, nil
 }
 
-// forgetCustomers deletes the customers that have been idle for customerIdleTime. Of those that were never sent anything,
-// it also deletes the longest idle beyond maxUnsentCustomers: only their arrivals are known, and a flood of requests of ever
-// new customers must not use up the memory.
+// forgetCustomers deletes the customers that have been idle for customerIdleTime. Of those that were never
+// sent anything, it also deletes the longest idle beyond maxUnsentCustomers: only their arrivals are known,
+// and a flood of requests of ever new customers must not use up the memory.
 func (g *Gateway) forgetCustomers() {
-	var unsentSeen []time.Duration          // when the requests of customers that were never sent anything arrived
+	var unsentSeen []time.Duration          // lastSeen of the customers that were never sent anything
 	for id, customer := range g.customers { // only deletes, so the random order of the map has no effect
 		switch {
 		case customer.inFlight > 0:
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -7,17 +7,18 @@
 
 // Staleness of the list of backends.
 //
-// With a ListLease, discovery may be down or overloaded for longer than a change of the list may go unnoticed. A list that is older than
-// its lease does not show which backends are draining by now, and neither does one that was saved before this process
-// started, as its age is not known. Then only an answer of a backend proves that it was not draining when the attempt
-// was sent, or had begun to only shortly before. A backend without such proof is sent nothing, and a request for which
-// there is no other backend is rejected at once.
+// With a ListLease, discovery may be down or overloaded for longer than a change of the list may go unnoticed. A list
+// that is older than its lease does not show which backends are draining by now, and neither does one that was saved
+// before this process started, as its age is not known. Then only an answer of a backend proves that it was not
+// draining when the attempt was sent, or had begun to only shortly before. A backend without such proof is sent
+// nothing, and a request for which there is no other backend is rejected at once.
 //
-// Without a ListLease, an agent of this gateway's own machine pushes the list, and what the agent knows counts as known here.
-// While the agent is silent it learns nothing, so a list that it has sent stays valid. But a new process has only the saved
-// list, and after a change of discovery's address the list is another discovery's. Both expire unless discovery sends a list
-// in time (ListExpiry), with or without a ListLease. After that nothing proves that a backend is not draining, not even an
-// answer: it may have begun to drain long before the expiry, and draining backends go on serving for a while.
+// Without a ListLease, an agent of this gateway's own machine pushes the list, and what the agent knows counts as known
+// here. While the agent is silent it learns nothing, so a list that it has sent stays valid. But a new process has only
+// the saved list, and after a change of discovery's address the list is another discovery's. Both expire unless
+// discovery sends a list in time (ListExpiry), with or without a ListLease. After that nothing proves that a backend is
+// not draining, not even an answer: it may have begun to drain long before the expiry, and draining backends go on
+// serving for a while.
 
 // forever is the end of a validity without an end.
 const forever = time.Duration(math.MaxInt64)
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -63,8 +63,9 @@
 	}
 }
 
-// After a ListExpiry nothing may be sent, with or without a lease, until discovery sends a list: neither the list nor an
-// answer confirms a backend. Attempts that begin before must not be delayed beyond it. The earliest of several counts.
+// After a ListExpiry nothing may be sent, with or without a lease, until discovery sends a list: neither the list nor
+// an answer confirms a backend. Attempts that begin before must not be delayed beyond it. The earliest of several
+// counts.
 func TestExpiredListConfirmsNoBackend(t *testing.T) {
 	for name, settings := range map[string]Settings{"without a lease": testSettings(), "with a lease": leaseSettings()} {
 		tg := newTestGateway(t, settings, testBackends(3)...)
