Reserve the memory of heads and read-ahead before they are parsed or buffered

Callers saw nothing yet: found on the paths related to the memory of bodies.

Cause: 16 KiB of short header fields take about 230 KB once the HTTP library has parsed them, on each connection. What a client sends behind its request (16 KiB) and the heads of responses were not limited in common either.

Change: a connection counts bytes and lines of a head as they are read and reserves what parsing will take before the library gets them (headmeter.go). An ordinary head is part of a connection's memory. The library gets nothing behind a head or a body, since it would parse that from its own buffer.

--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -31,6 +32,7 @@
 	discardTimeout    = 100 * time.Millisecond // of the rest of a body that is not used
 	clientIdleTimeout = 15 * time.Second       // how long a client's connection may be idle
 	maxRequestHead    = 16 << 10               // bytes
+	maxDiscarded      = 256 << 10              // bytes of a request that is not read to its end
 
 	// The HTTP server's write timeout starts when it has read a request's head, so it includes the time until there is
 	// a response. It is the longest deadline of all classes plus writeMargin, which is the time for writing the
@@ -104,7 +106,7 @@
 		},
 	}
 	defer httpServer.Close()
-	trackingListener := &clientListener{Listener: listener}
+	trackingListener := &clientListener{Listener: listener, account: s.loop.backends.account, noRoom: s.rejectHead}
 	serveEnded := make(chan error, 1)
 	go func() { serveEnded <- httpServer.Serve(trackingListener) }()
 	select {
@@ -118,6 +120,9 @@
 // ServeHTTP serves one request, which receives exactly one final response.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if conn, ok := r.Context().Value(connContextKey{}).(*clientConn); ok {
+		conn.unreadBody = max(0, r.ContentLength)
+	}
 	if err := checkFraming(r); err != nil {
 		s.writeInvalid(w, r, err)
 		return
@@ -209,6 +214,24 @@
 	return http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
 }
 
+// headRejectionRetryAfter is the longest Retry-After of a request whose head has no room. Such heads are long and rare, and
+// the gateway can't advise a time without the request.
+const headRejectionRetryAfter = time.Second
+
+// rejectHead rejects a request whose head has no room, before the HTTP server has read it. What follows is discarded for
+// discardTimeout at most, as the response could be lost if the connection were closed with unread data.
+func (s *Server) rejectHead(conn net.Conn, err error) {
+	s.memoryLog.Do(func() { slog.Warn("rejected a request for lack of memory for its head", "err", err) })
+	response := "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n"
+	if retryAfter := min(s.settings.MaxRetryAfter, headRejectionRetryAfter); retryAfter > 0 {
+		response += "Retry-After: " + formatRetryAfter(retryAfter) + "\r\n"
+	}
+	_ = conn.SetDeadline(time.Now().Add(discardTimeout))
+	if _, err := io.WriteString(conn, response+"\r\n"); err == nil {
+		_, _ = io.CopyN(io.Discard, conn, maxDiscarded)
+	}
+}
+
 // connContextKey is the key of the client's connection in a request's context.
 type connContextKey struct{}
 
@@ -239,7 +262,7 @@
 		_, _ = w.Write(response.outcome.body) // after an error the connection is closed, which shows the truncation
 	case rejected:
 		if response.retryAfter > 0 {
-			header.Set("Retry-After", strconv.FormatFloat(response.retryAfter.Seconds(), 'f', 3, 64))
+			header.Set("Retry-After", formatRetryAfter(response.retryAfter))
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
@@ -247,6 +270,11 @@
 	}
 }
 
+// formatRetryAfter returns the value of a Retry-After header.
+func formatRetryAfter(wait time.Duration) string {
+	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+}
+
 // margins returns how long before the end of a client's timeout the gateway's timeout ends, and a request without a
 // response is answered with 504.
 func margins(timeout time.Duration) (forGateway, forResponse time.Duration) {
--- a/internal/frontdoor/conntable.go
+++ b/internal/frontdoor/conntable.go
@@ -69,18 +69,20 @@
 	switch state {
 	case http.StateNew, http.StateIdle:
 		if ok && state == http.StateIdle {
-			client.requestInProgress, client.acceptedAt, client.dataSeenAt = false, time.Time{}, time.Time{}
-			client.requestBegun.Store(len(client.readAhead) > 0) // the rest has been answered
+			client.acceptedAt, client.dataSeenAt = time.Time{}, time.Time{}
+			client.endRequest()
 		}
 		t.open[conn] = t.idle.PushBack(conn)
 	case http.StateActive:
 		t.open[conn] = nil
 		if ok {
-			client.requestInProgress = true
-			client.beyondLimit = len(t.open)-t.idle.Len() > t.maxServed
+			client.beginRequest(len(t.open)-t.idle.Len() > t.maxServed)
 		}
 	default:
 		delete(t.open, conn)
+		if ok {
+			client.release()
+		}
 	}
 }
 
--- a/internal/frontdoor/memory_test.go
+++ b/internal/frontdoor/memory_test.go
@@ -65,6 +65,17 @@
 	return text + "\r\n\r\n" + strings.Repeat("y", maxBody)
 }
 
+// longHeadText returns a request with a long head of many short fields, which take up much more memory than bytes.
+func longHeadText(t *testing.T, instance *testGateway, i int) string {
+	t.Helper()
+	var text strings.Builder
+	text.WriteString(strings.TrimSuffix(instance.requestText(t, "look", fmt.Sprintf("%016x", i)), "\r\n"))
+	for field := 0; text.Len() < maxRequestHead-10; field++ {
+		fmt.Fprintf(&text, "%x:\r\n", field)
+	}
+	return text.String() + "\r\n"
+}
+
 // heldDataKinds are the kinds of data that clients can make a gateway hold.
 var heldDataKinds = map[string]heldData{
 	"bodies of requests whose attempts have no response": {attemptUnlessOverloaded,
@@ -76,6 +87,15 @@
 			text := longBodyText(t, instance, i)
 			io.WriteString(conn, text[:len(text)-unsentBodyBytes])
 		}},
+	"long heads": {rejectOverload,
+		func(t *testing.T, instance *testGateway, conn net.Conn, i int) {
+			io.WriteString(conn, longHeadText(t, instance, i))
+		}},
+	"data behind requests": {rejectOverload,
+		func(t *testing.T, instance *testGateway, conn net.Conn, i int) {
+			io.WriteString(conn, instance.requestText(t, "look", fmt.Sprintf("%016x", i)))
+			io.WriteString(conn, strings.Repeat("z", maxReadAhead-1))
+		}},
 }
 
 // startMemoryTest starts a gateway with the limits of these tests and a backend that never responds.
--- a/internal/frontdoor/pool.go
+++ b/internal/frontdoor/pool.go
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	c = &pooledConn{Conn: conn, account: p.account, endpoint: endpoint}
-	c.limited.source = conn
+	c.limited.source, c.limited.headCharge = conn, p.account.NewCharge(memory.Responses)
 	c.reader = bufio.NewReaderSize(&c.limited, responseBufferSize)
 	return c, nil
 }
@@ -180,12 +180,15 @@
 
 var errTooLarge = errors.New("the response is larger than allowed")
 
-// limitedReader reads at most remaining bytes, and then fails with errTooLarge. It can record what it reads.
+// limitedReader reads at most remaining bytes, and then fails with errTooLarge. It can record a head that it reads, for
+// which it reserves memory.
 type limitedReader struct {
-	source    io.Reader
-	remaining int
-	recording bool
-	recorded  []byte // since the start of the recording; its memory is reused
+	source     io.Reader
+	remaining  int
+	recording  bool
+	recorded   []byte // since the start of the recording; its memory is reused
+	head       headMeter
+	headCharge memory.Charge // for head
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
@@ -195,11 +198,21 @@
 	n, err := l.source.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
 	if l.recording {
+		l.head.add(p[:n])
+		if err := l.headCharge.RaiseTo(l.head.memory()); err != nil {
+			return 0, err
+		}
 		l.recorded = append(l.recorded, p[:n]...)
 	}
 	return n, err
 }
 
+// releaseHead gives back the memory that is reserved for a head, of which nothing must be in use any more.
+func (l *limitedReader) releaseHead() {
+	l.head = headMeter{}
+	l.headCharge.Release()
+}
+
 // stopRecording ends the recording and discards it if it is long.
 func (l *limitedReader) stopRecording() {
 	l.recording = false
--- a/internal/frontdoor/responses.go
+++ b/internal/frontdoor/responses.go
@@ -26,6 +26,7 @@
 // incomplete, malformed or too large.
 func (b *Backends) readResponse(ctx context.Context, conn *pooledConn, request *forwardedRequest,
 	outcome *attemptOutcome) (reusable bool, err error) {
+	defer conn.limited.releaseHead()
 	conn.limited.remaining = maxResponseHead
 	if _, err := conn.reader.Peek(1); err != nil {
 		return false, fmt.Errorf("%w: %w", errNoResponse, err)
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -52,9 +52,6 @@
 // NewAccount returns an account that holds nothing. The limit is in bytes.
 func NewAccount(limit int64) *Account { return &Account{limit: limit} }
 
-// Limit returns how many bytes may be reserved at one time.
-func (a *Account) Limit() int64 { return a.limit }
-
 // Used returns how many bytes are reserved.
 func (a *Account) Used() int64 {
 	a.mu.Lock()
@@ -62,8 +59,8 @@
 	return a.used
 }
 
-// classLimit returns the most bytes that may be reserved in all after a reservation for a class.
-func (a *Account) classLimit(class Class) int64 {
+// ClassLimit returns how many bytes may be reserved in all after a reservation for a class.
+func (a *Account) ClassLimit(class Class) int64 {
 	if class == Requests {
 		return a.limit / requestShareDenominator * requestShareNumerator
 	}
@@ -87,7 +84,7 @@
 
 // checkRoom returns a *NoRoomError if bytes can't be reserved for a class. The caller must hold the lock.
 func (a *Account) checkRoom(class Class, bytes int64) error {
-	if limit := a.classLimit(class); a.used+bytes > limit {
+	if limit := a.ClassLimit(class); a.used+bytes > limit {
 		return &NoRoomError{Wanted: bytes, Used: a.used, Limit: limit}
 	}
 	return nil
