--- a/cmd/herontiller/flood_test.go
+++ b/cmd/herontiller/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -37,35 +38,58 @@
 		usualTimeout.Seconds())
 }
 
-// sendRepeatedly sends requests at full speed, one at a time, until ended is set. It connects again when its connection
-// is closed.
-func sendRepeatedly(addr string, ended *atomic.Bool) {
+// keepSending makes exchanges one after another until ended is set. It connects again when an exchange reports that its
+// connection is closed, and gives up a connection after its lifetime.
+func keepSending(addr string, ended *atomic.Bool, lifetime time.Duration,
+	exchange func(net.Conn, *bufio.Reader) (open bool)) {
 	for !ended.Load() {
 		conn, err := net.Dial("tcp", addr)
 		if err != nil {
 			continue
 		}
-		conn.SetDeadline(time.Now().Add(2 * floodTime))
+		conn.SetDeadline(time.Now().Add(lifetime))
 		reader := bufio.NewReader(conn)
-		for !ended.Load() {
-			if _, err := io.WriteString(conn, newCustomerRequest()); err != nil {
-				break
-			}
-			response, err := http.ReadResponse(reader, nil)
-			if err != nil {
-				break
-			}
-			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
-				break
-			}
+		for open := true; open && !ended.Load(); {
+			open = exchange(conn, reader)
 		}
 		conn.Close()
 	}
 }
 
+// sendAndReceive sends a request, or the rest of one, and reads the response. It returns the status, 0 without a complete
+// response, and whether the connection is still open.
+func sendAndReceive(conn net.Conn, reader *bufio.Reader, request string) (status int, open bool) {
+	if _, err := io.WriteString(conn, request); err != nil {
+		return 0, false
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return 0, false
+	}
+	if _, err = io.Copy(io.Discard, response.Body); err != nil {
+		return 0, false
+	}
+	return response.StatusCode, !response.Close
+}
+
+// silentConnectionTime is how long a new connection may be silent while there are too many, before the program closes it.
+const silentConnectionTime = 50 * time.Millisecond
+
+// lateRequestError reports that the program closed a new connection on which this process was late to write: not before
+// silentConnectionTime. By the protocol the client sends such a request again, on a new connection.
+type lateRequestError struct {
+	delay time.Duration // from the begin of connecting until the request was written
+	err   error
+}
+
+func (e *lateRequestError) Error() string {
+	return fmt.Sprintf("the request was written %v after connecting: %v", e.delay, e.err)
+}
+
 // sendOnce sends a request on a new connection and returns the status of its answer, which must come within the given
 // time.
 func sendOnce(addr string, within time.Duration) (status int, err error) {
+	begin := time.Now()
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return 0, err
@@ -74,9 +98,13 @@
 	if _, err := io.WriteString(conn, newCustomerRequest()); err != nil {
 		return 0, err
 	}
+	delay := time.Since(begin)
 	conn.SetReadDeadline(time.Now().Add(within))
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
+	switch {
+	case errors.Is(err, io.ErrUnexpectedEOF) && delay >= silentConnectionTime:
+		return 0, &lateRequestError{delay, err}
+	case err != nil:
 		return 0, err
 	}
 	_, err = io.Copy(io.Discard, response.Body)
@@ -100,7 +128,12 @@
 	var ended atomic.Bool
 	var clients sync.WaitGroup
 	for range floodClients {
-		clients.Go(func() { sendRepeatedly(addr, &ended) })
+		clients.Go(func() {
+			keepSending(addr, &ended, 2*floodTime, func(conn net.Conn, reader *bufio.Reader) bool {
+				_, open := sendAndReceive(conn, reader, newCustomerRequest())
+				return open
+			})
+		})
 	}
 	for start := time.Now(); time.Since(start) < floodTime; time.Sleep(usualInterval) {
 		clients.Go(func() {
--- a/cmd/herontiller/limits_test.go
+++ b/cmd/herontiller/limits_test.go
@@ -23,13 +23,13 @@
 
 // startProgram starts the program with a configuration and a limit on open file descriptors. It returns the process and
 // the address that the program listens on, once it serves.
-func startProgram(t *testing.T, configText string, descriptors int) (cmd *exec.Cmd, addr string) {
+func startProgram(t testing.TB, configText string, descriptors int) (cmd *exec.Cmd, addr string) {
 	t.Helper()
 	return startProgramWithFile(t, writeConfig(t, configText), descriptors)
 }
 
 // startProgramWithFile is startProgram with the path of the configuration file.
-func startProgramWithFile(t *testing.T, path string, descriptors int) (cmd *exec.Cmd, addr string) {
+func startProgramWithFile(t testing.TB, path string, descriptors int) (cmd *exec.Cmd, addr string) {
 	t.Helper()
 	cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %q", descriptors, os.Args[0]))
 	cmd.Env = append(os.Environ(), "HERONTILLER_AS_PROGRAM=1", "NODE_CONFIG="+path)
--- a/cmd/herontiller/main_test.go
+++ b/cmd/herontiller/main_test.go
@@ -25,7 +25,7 @@
   "policy_limits":{"max_attempts":2,"conn_idle_us":15000000,"connect_timeout_us":250000}}}`
 
 // writeConfig writes a configuration file and returns its path.
-func writeConfig(t *testing.T, text string) string {
+func writeConfig(t testing.TB, text string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/cmd/herontiller/stale_list_test.go
+++ b/cmd/herontiller/stale_list_test.go
@@ -18,7 +18,7 @@
 )
 
 // startAgent starts a discovery agent with one backend. It sends nothing while silent is set.
-func startAgent(t *testing.T, backendAddr string, silent *atomic.Bool) (addr string) {
+func startAgent(t testing.TB, backendAddr string, silent *atomic.Bool) (addr string) {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if silent.Load() {
@@ -37,7 +37,7 @@
 }
 
 // statusOf sends a request and returns the status of the response.
-func statusOf(t *testing.T, addr string) int {
+func statusOf(t testing.TB, addr string) int {
 	t.Helper()
 	status, err := sendOnce(addr, waitTimeout)
 	if err != nil {
@@ -47,7 +47,7 @@
 }
 
 // sendUntil sends a request every 20 ms and returns when one is answered with the status.
-func sendUntil(t *testing.T, addr string, status int) {
+func sendUntil(t testing.TB, addr string, status int) {
 	t.Helper()
 	for deadline := time.Now().Add(waitTimeout); statusOf(t, addr) != status; time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(deadline) {
