Give the encoding of attempts a file of its own

backends.go had two jobs: sending attempts, and the form in which a request is sent. No function differs.

--- a/internal/frontdoor/backends.go
+++ b/internal/frontdoor/backends.go
@@ -1,14 +1,11 @@
 package frontdoor
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,32 +28,8 @@
 	responseReadTimeout = 500 * time.Millisecond
 	maxResponseHead     = 16 << 10 // bytes, including preceding 1xx responses
 	maxUsagePercent     = 10_000   // percent of the quota; a higher value is invalid
-	requestHeadEstimate = 512      // bytes for which a request's head has room at first; it grows if needed
 )
 
-// forwardedRequest is a request as each attempt sends it to a backend: a client's request, or a probe.
-type forwardedRequest struct {
-	method       string
-	target       string // path and query as received
-	host         string
-	header       http.Header
-	body         *memory.Buffer // may be nil
-	disconnected func() bool    // reports whether the client has disconnected, and ends the request if so; may be nil
-}
-
-// bodyBytes returns the body.
-func (r *forwardedRequest) bodyBytes() []byte {
-	if r.body == nil {
-		return nil
-	}
-	return r.body.Bytes
-}
-
-// cancelled reports whether an attempt must no longer be sent.
-func (r *forwardedRequest) cancelled(writeCtx context.Context) bool {
-	return writeCtx.Err() != nil || r.disconnected != nil && r.disconnected()
-}
-
 // attemptOutcome is the result of an attempt and, if there was a response, the response's contents.
 type attemptOutcome struct {
 	result      gateway.Result
@@ -295,34 +268,6 @@
 	return nil
 }
 
-// encode returns the request in HTTP/1.1 format. Its Request-Timeout is the time left until the deadline of ctx. A body
-// that is not small is not copied.
-func (r *forwardedRequest) encode(ctx context.Context) net.Buffers {
-	body := r.bodyBytes()
-	head := r.encodeHead(ctx, len(body))
-	if len(body) <= memory.SmallSize {
-		return net.Buffers{append(head, body...)}
-	}
-	return net.Buffers{head, body}
-}
-
-// encodeHead returns the head of the request. All parts of it were checked when the client's request was read.
-func (r *forwardedRequest) encodeHead(ctx context.Context, bodyLength int) []byte {
-	header := r.header.Clone()
-	if deadline, ok := ctx.Deadline(); ok {
-		header["Request-Timeout"] = []string{strconv.FormatFloat(time.Until(deadline).Seconds(), 'f', 3, 64)}
-	}
-	if r.method != http.MethodGet {
-		header["Content-Length"] = []string{strconv.Itoa(bodyLength)}
-	}
-	var head bytes.Buffer
-	head.Grow(requestHeadEstimate)
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.method, r.target, r.host)
-	_ = header.Write(&head) // can't fail: the buffer grows
-	head.WriteString("\r\n")
-	return head.Bytes()
-}
-
 // probe requests a backend's health, or its load figures if the settings name any.
 func (b *Backends) probe(id gateway.BackendID) gateway.ProbeResult {
 	result := gateway.ProbeResult{Backend: id}
--- a/internal/frontdoor/config.go
+++ b/internal/frontdoor/config.go
@@ -6,7 +6,7 @@
 //   - clients.go serves clients, requests.go validates their requests, conns.go accepts their connections, clientconn.go
 //     and readahead.go read from them, conntable.go limits them;
 //   - headmeter.go estimates the memory of heads;
-//   - backends.go sends attempts, responses.go reads the responses, surplus.go checks what follows them, pool.go limits and
+//   - backends.go sends attempts, forwarded.go encodes them, responses.go reads the responses, surplus.go checks what follows them, pool.go limits and
 //     reuses the connections;
 //   - discovery.go keeps the list of backends up to date, lists.go parses it, lease.go limits its use, pace.go determines
 //     timeouts and backoff.
