Test that responses which clients do not read stay within memory

The account limits responses since it exists; now a test holds them: clients that send two requests and read nothing, so that the kernel takes the first response and the gateway holds the second.

--- a/internal/frontdoor/account_test.go
+++ b/internal/frontdoor/account_test.go
@@ -41,7 +41,7 @@
 func TestMemoryIsReleasedAfterRequests(t *testing.T) {
 	for name, kind := range heldDataKinds {
 		t.Run(name, func(t *testing.T) {
-			instance := startMemoryTest(t, &handlerFunc{actionsFor: kind.actionsFor})
+			instance := startMemoryTest(t, &handlerFunc{actionsFor: kind.actionsFor}, kind.response)
 			conns := kind.sendFromAll(t, instance)
 			awaitReserved(t, instance)
 			for _, conn := range conns {
@@ -52,11 +52,6 @@
 	}
 }
 
-// sizedResponse returns a response with a Content-Length.
-func sizedResponse(status string, bodyLength int) string {
-	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, bodyLength, strings.Repeat("b", bodyLength))
-}
-
 // chunkedResponse returns a response with a chunked body.
 func chunkedResponse(bodyLength int) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", bodyLength,
@@ -149,7 +144,7 @@
 			return []gateway.Action{gateway.Send{Request: request.ID, Backend: 2}}
 		}
 		return attemptUnlessOverloaded(event)
-	}})
+	}}, held.response)
 	second := startHTTPServer(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
 	list := readyList(instance.loop.backends.byID[1].endpoint.addr, second)
 	instance.loop.Update(list)
--- a/internal/frontdoor/memory_test.go
+++ b/internal/frontdoor/memory_test.go
@@ -21,6 +21,7 @@
 	memoryTestClients = 480                    // each has one request open
 	memoryTestTime    = 800 * time.Millisecond // how long what is held is measured; bodies time out after 1 s
 	unsentBodyBytes   = 1000                   // of a body that is not complete
+	smallSocketBuffer = 4 << 10                // bytes
 )
 
 // handlerFunc is an event handler that is a function. The requests that it doesn't reject are counted in admitted.
@@ -53,6 +54,7 @@
 // heldData is a kind of data that clients can make a gateway hold. Of the request of client number i, send sends as much
 // as is sent at all.
 type heldData struct {
+	response   string // of the backend; "": it never responds
 	actionsFor func(gateway.Event) []gateway.Action
 	send       func(t *testing.T, instance *testGateway, conn net.Conn, i int)
 }
@@ -65,6 +67,11 @@
 	return text + "\r\n\r\n" + strings.Repeat("y", maxBody)
 }
 
+// sizedResponse returns a response with a Content-Length.
+func sizedResponse(status string, bodyLength int) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, bodyLength, strings.Repeat("b", bodyLength))
+}
+
 // longHeadText returns a request with a long head of many short fields, which take up much more memory than bytes.
 func longHeadText(t *testing.T, instance *testGateway, i int) string {
 	t.Helper()
@@ -78,37 +85,56 @@
 
 // heldDataKinds are the kinds of data that clients can make a gateway hold.
 var heldDataKinds = map[string]heldData{
-	"bodies of requests whose attempts have no response": {attemptUnlessOverloaded,
+	"bodies of requests whose attempts have no response": {"", attemptUnlessOverloaded,
 		func(t *testing.T, instance *testGateway, conn net.Conn, i int) {
 			io.WriteString(conn, longBodyText(t, instance, i))
 		}},
-	"bodies that come slowly": {attemptUnlessOverloaded,
+	"bodies that come slowly": {"", attemptUnlessOverloaded,
 		func(t *testing.T, instance *testGateway, conn net.Conn, i int) {
 			text := longBodyText(t, instance, i)
 			io.WriteString(conn, text[:len(text)-unsentBodyBytes])
 		}},
-	"long heads": {rejectOverload,
+	"long heads": {"", rejectOverload,
 		func(t *testing.T, instance *testGateway, conn net.Conn, i int) {
 			io.WriteString(conn, longHeadText(t, instance, i))
 		}},
-	"data behind requests": {rejectOverload,
+	"responses that are not read": {sizedResponse("200 OK", maxBody), attemptUnlessOverloaded,
+		func(t *testing.T, instance *testGateway, conn net.Conn, i int) {
+			conn.(*net.TCPConn).SetReadBuffer(smallSocketBuffer)
+			for id := 2 * i; id <= 2*i+1; id++ { // the kernel takes the first response as a whole
+				io.WriteString(conn, instance.requestText(t, "look", fmt.Sprintf("%016x", id)))
+			}
+		}},
+	"data behind requests": {"", rejectOverload,
 		func(t *testing.T, instance *testGateway, conn net.Conn, i int) {
 			io.WriteString(conn, instance.requestText(t, "look", fmt.Sprintf("%016x", i)))
 			io.WriteString(conn, strings.Repeat("z", maxReadAhead-1))
 		}},
 }
 
-// startMemoryTest starts a gateway with the limits of these tests and a backend that never responds.
-func startMemoryTest(t *testing.T, handler eventHandler) *testGateway {
+// smallBufferListener accepts connections for which the kernel buffers little.
+type smallBufferListener struct{ *net.TCPListener }
+
+func (l smallBufferListener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.SetWriteBuffer(smallSocketBuffer)
+}
+
+// startMemoryTest starts a gateway with the limits of these tests and a backend with the given response.
+func startMemoryTest(t *testing.T, handler eventHandler, response string) *testGateway {
 	t.Helper()
 	config := newTestConfig(t)
 	config.Limits.MemoryMB, config.Limits.Sockets = memoryTestMB, memoryTestSockets
 	loop := newLoop(clock{time.Now()}, handler, NewBackends(config))
-	loop.Update(readyList(startRawBackend(t, func(int, net.Conn) {})))
+	responseBytes := []byte(response) // once, as all responses are written at the same time
+	loop.Update(readyList(startRawBackend(t, func(_ int, conn net.Conn) { conn.Write(responseBytes) })))
 	listener := listenTCP(t)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	go NewServer(config, loop).Run(ctx, listener)
+	go NewServer(config, loop).Run(ctx, smallBufferListener{listener})
 	return &testGateway{addr: listener.Addr().String(), loop: loop, stop: stop}
 }
 
@@ -141,7 +167,7 @@
 	for name, kind := range heldDataKinds {
 		t.Run(name, func(t *testing.T) {
 			handler := &handlerFunc{actionsFor: kind.actionsFor}
-			instance := startMemoryTest(t, handler)
+			instance := startMemoryTest(t, handler, kind.response)
 			before, most := liveMemory(), int64(0)
 			kind.sendFromAll(t, instance)
 			for end := time.Now().Add(memoryTestTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
