--- a/internal/frontdoor/config.go
+++ b/internal/frontdoor/config.go
@@ -3,8 +3,8 @@
 //
 //   - config.go reads the configuration, limits.go derives limits of connections and memory from it;
 //   - loop.go owns the gateway, passes it events and executes its actions;
-//   - clients.go serves clients, requests.go validates their requests, conns.go accepts their connections, clientconn.go
-//     and readahead.go read from them, conntable.go limits them;
+//   - clients.go serves clients, requests.go validates their requests, rejections.go answers those that are not served;
+//   - conns.go accepts clients' connections, clientconn.go and readahead.go read from them, conntable.go limits them;
 //   - headmeter.go estimates the memory of heads;
 //   - backends.go sends attempts, forwarded.go encodes them, responses.go reads the responses, surplus.go checks what follows them, pool.go limits and
 //     reuses the connections;
