Leave an eighth of the clients' connections to small requests

Cause: all requests had the same chance at the limit of connections, and clients that come again at once take what is free.

Change: a request with a body over 2 KiB is one too many from seven eighths of the connections on, which is more than the third of the descriptors that usual clients need. This works since long requests can't use the rest, however fast.

Test: TestLongRequestsLeaveConnectionsToSmallOnes failed before.

--- a/internal/frontdoor/account_test.go
+++ b/internal/frontdoor/account_test.go
@@ -166,6 +166,40 @@
 	}
 }
 
+// Guards against small requests that are rejected because long ones are in progress on all connections: long ones must
+// leave an eighth of the connections to small ones.
+func TestLongRequestsLeaveConnectionsToSmallOnes(t *testing.T) {
+	const longServed = limitedServed * 7 / 8
+	handler := newScriptedHandler(rejectOverload)
+	instance, server := startGatewayWithSockets(t, handler, limitedSockets)
+	expectRequest := func(overload bool) {
+		t.Helper()
+		if request := nextEvent[gateway.Request](t, handler); request.Overload != overload {
+			t.Errorf("request %x is one too many: %v, want %v", request.ID, request.Overload, overload)
+		}
+	}
+	sendLong := func(id int) net.Conn {
+		conn := dialConns(t, instance.addr, 1)[0]
+		io.WriteString(conn, longBodyText(t, instance, id))
+		return conn
+	}
+	for i := range longServed {
+		sendLong(0xa00 + i)
+		expectRequest(false)
+	}
+	conn := sendLong(0xb00)
+	expectRequest(true)
+	expectRejection(t, conn, testTimeout)
+	readUntilClosed(t, conn)
+	awaitOpenConns(t, server, longServed)
+	for i, class := range []string{"look", "pay"} {
+		instance.sendRequests(t, class, 0xc00+i, 1)
+		expectRequest(false)
+	}
+	instance.sendRequests(t, "look", 0xd00, 1)
+	expectRequest(true)
+}
+
 // Connections and account together must not exceed the clients' part of the memory, and there must be room for the
 // requests of usual clients, who have a third of the descriptors at most, and for some long bodies.
 func TestLimitsFollowFromMemoryAndDescriptors(t *testing.T) {
--- a/internal/frontdoor/clientconn.go
+++ b/internal/frontdoor/clientconn.go
@@ -34,7 +34,7 @@
 
 	// Used by the HTTP server, which reads in one goroutine at a time.
 	requestInProgress bool
-	beyondLimit       bool  // the request in progress is one too many, and must be rejected
+	concurrent        int   // requests that were in progress when this one began, itself included
 	unreadBody        int64 // bytes of the body of the request in progress that have not been read; 0: none, or not known
 	head              headMeter
 	headCharge        memory.Charge // for head
@@ -49,9 +49,9 @@
 		readAhead:  readAhead{charge: account.NewCharge(memory.Requests)}}
 }
 
-// beginRequest marks the begin of a request, whose head has been read.
-func (c *clientConn) beginRequest(beyondLimit bool) {
-	c.requestInProgress, c.beyondLimit = true, beyondLimit
+// beginRequest marks the begin of a request, whose head has been read. concurrent is how many are in progress now.
+func (c *clientConn) beginRequest(concurrent int) {
+	c.requestInProgress, c.concurrent = true, concurrent
 }
 
 // endRequest marks the end of a request, whose response has been written.
--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -46,26 +46,29 @@
 
 // Server serves the clients of a gateway over HTTP.
 type Server struct {
-	loop          *Loop
-	settings      gateway.Settings
-	classes       map[string]gateway.Class // by name
-	plans         map[string]bool          // the names of the plans
-	started       time.Time
-	maxDeadline   time.Duration // longest deadline of all classes
-	connections   *connTable
-	killTime      atomic.Pointer[time.Time] // when the platform may kill this process; nil before SIGTERM
-	lastAccept    atomic.Int64              // when the last connection was accepted, Unix time in nanoseconds
-	badRequestLog rate.Sometimes
-	memoryLog     rate.Sometimes
-	timeoutLog    rate.Sometimes
+	loop        *Loop
+	settings    gateway.Settings
+	classes     map[string]gateway.Class // by name
+	plans       map[string]bool          // the names of the plans
+	started     time.Time
+	maxDeadline time.Duration // longest deadline of all classes
+	connections *connTable
+	// Requests that are not small are rejected if more than this many are in progress, small ones included.
+	maxLongRequests int
+	killTime        atomic.Pointer[time.Time] // when the platform may kill this process; nil before SIGTERM
+	lastAccept      atomic.Int64              // when the last connection was accepted, Unix time in nanoseconds
+	badRequestLog   rate.Sometimes
+	memoryLog       rate.Sometimes
+	timeoutLog      rate.Sometimes
 }
 
 // NewServer returns a Server that passes requests to loop.
 func NewServer(config Config, loop *Loop) *Server {
 	settings := config.Settings
 	s := &Server{loop: loop, settings: settings, started: time.Now(),
-		connections: newConnTable(config.Limits.maxClientConns(), config.Limits.maxOpenClientConns()),
-		classes:     map[string]gateway.Class{}, plans: map[string]bool{},
+		connections:     newConnTable(config.Limits.maxClientConns(), config.Limits.maxOpenClientConns()),
+		maxLongRequests: config.Limits.maxLongRequests(),
+		classes:         map[string]gateway.Class{}, plans: map[string]bool{},
 		badRequestLog: rate.Sometimes{First: logBurst, Interval: logInterval},
 		memoryLog:     rate.Sometimes{First: logBurst, Interval: logInterval},
 		timeoutLog:    rate.Sometimes{First: logBurst, Interval: logInterval}}
@@ -154,7 +157,7 @@
 	if err != nil {
 		return parsed, err
 	}
-	if isBeyondLimit(r) {
+	if s.isBeyondLimit(r) {
 		return parsed, s.rejectUnread(w, &parsed)
 	}
 	parsed.forwarded.body, err = s.readBody(w, r)
--- a/internal/frontdoor/conntable.go
+++ b/internal/frontdoor/conntable.go
@@ -76,7 +76,7 @@
 	case http.StateActive:
 		t.open[conn] = nil
 		if ok {
-			client.beginRequest(len(t.open)-t.idle.Len() > t.maxServed)
+			client.beginRequest(len(t.open) - t.idle.Len())
 		}
 	default:
 		delete(t.open, conn)
--- a/internal/frontdoor/limits.go
+++ b/internal/frontdoor/limits.go
@@ -44,6 +44,11 @@
 	return max(1, min(l.Sockets*5/12, int(float64(l.affordableClientConns())*keptShare)))
 }
 
+// maxLongRequests returns how many requests may be in progress when one with a body that is not small begins, itself
+// included: seven eighths of all, so that clients with long requests leave some to those with small ones. That is still
+// more than a third of the file descriptors.
+func (l Limits) maxLongRequests() int { return max(1, l.maxClientConns()*7/8) }
+
 // maxOpenClientConns returns how many connections of clients may be open, including those on which requests are only
 // rejected.
 func (l Limits) maxOpenClientConns() int {
--- a/internal/frontdoor/rejections.go
+++ b/internal/frontdoor/rejections.go
@@ -45,9 +45,13 @@
 }
 
 // isBeyondLimit reports whether a request is one too many of those in progress here.
-func isBeyondLimit(r *http.Request) bool {
+func (s *Server) isBeyondLimit(r *http.Request) bool {
+	limit := s.connections.maxServed
+	if r.ContentLength > memory.SmallSize {
+		limit = s.maxLongRequests
+	}
 	conn, ok := r.Context().Value(connContextKey{}).(*clientConn)
-	return ok && conn.beyondLimit
+	return ok && conn.concurrent > limit
 }
 
 // rejectUnread prepares a request for its rejection. Its body is not read: the rest of it may be long in coming.
